--- /dev/null
+++ b/crates/hyssopctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/hyssopdyke-wire/src/codec.rs
@@ -0,0 +1,56 @@
+//! Sealed messages on a TCP session, each behind its length.
+
+use bytes::BytesMut;
+use prost::Message;
+use std::marker::PhantomData;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::{Error, Key};
+
+/// Bytes of the longest frame, unless another limit is set.
+const FRAME_BYTES: usize = 1 << 20;
+
+/// Frames of sealed messages of one type.
+#[derive(Debug)]
+pub struct Codec<M> {
+    lengths: LengthDelimitedCodec,
+    key: Key,
+    message: PhantomData<fn() -> M>,
+}
+
+impl<M> Codec<M> {
+    /// Frames messages that are sealed with `key`.
+    #[must_use]
+    pub fn new(key: Key) -> Self {
+        Self::with_frame_bytes(key, FRAME_BYTES)
+    }
+
+    /// Frames messages that are sealed with `key` and have up to `frame_bytes` bytes.
+    #[must_use]
+    pub fn with_frame_bytes(key: Key, frame_bytes: usize) -> Self {
+        let lengths = LengthDelimitedCodec::builder().max_frame_length(frame_bytes).new_codec();
+        Self { lengths, key, message: PhantomData }
+    }
+}
+
+impl<M: Message> Encoder<M> for Codec<M> {
+    type Error = Error;
+
+    fn encode(&mut self, message: M, target: &mut BytesMut) -> Result<(), Error> {
+        let mut sealed = BytesMut::new();
+        self.key.seal(&message, &mut sealed);
+        Ok(self.lengths.encode(sealed.freeze(), target)?)
+    }
+}
+
+impl<M: Message + Default> Decoder for Codec<M> {
+    type Item = M;
+    type Error = Error;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<M>, Error> {
+        let Some(sealed) = self.lengths.decode(source)? else {
+            return Ok(None);
+        };
+        self.key.open(sealed.freeze()).map(Some)
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyke/src/connection/mod.rs
@@ -0,0 +1,11 @@
+//! What lives for one connection, and the tables that hold many.
+
+mod cache;
+mod directory;
+mod flow;
+mod table;
+
+pub use cache::Cache;
+pub use directory::{Directory, Offer, Record};
+pub use flow::{Error, Flow, Protocol};
+pub use table::{Connection, Ends, Event, Table};
--- /dev/null
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -0,0 +1,15 @@
+//! What a daemon keeps from its start to its stop.
+
+mod barrier;
+mod disk;
+mod journal;
+mod lease;
+mod limit;
+mod outbox;
+
+pub use barrier::Barrier;
+pub use disk::{Disk, Folder};
+pub use journal::{Error as JournalError, Journal};
+pub use lease::Lease;
+pub use limit::Limit;
+pub use outbox::Outbox;
--- /dev/null
+++ b/crates/hyssopdyke/src/request/mod.rs
@@ -0,0 +1,9 @@
+//! What lives for one request: its packets and the choice of its upstream.
+
+mod packet;
+mod placement;
+mod reset;
+
+pub use packet::{Packet, Refusal, Segment};
+pub use placement::{Candidate, Draw};
+pub use reset::{Probe, Reset};
--- /dev/null
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -0,0 +1,71 @@
+//! The members of a service.
+
+use std::net::SocketAddr;
+
+use super::Ranking;
+use crate::vm;
+
+/// An upstream with its agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Hash of the VM's name.
+    pub vm: vm::Id,
+    /// The VM's name.
+    pub name: Box<str>,
+    /// Failure domain.
+    pub domain: Box<str>,
+    /// Agent's socket for datagrams of other daemons.
+    pub address: SocketAddr,
+    /// Identity of the agent's process.
+    pub boot: u64,
+    /// Takes no new flows.
+    pub draining: bool,
+}
+
+/// The members of one service, and what one of them bears.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pool {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Revision of the last change of the members.
+    pub epoch: u64,
+    /// Connections that one upstream bears.
+    pub connections: u32,
+    /// Requests that one upstream runs at a time.
+    pub slots: u32,
+    /// Requests that one upstream bears while it is cold.
+    pub cold_slots: u32,
+    /// Members in failure domains that are in, by id.
+    pub members: Vec<Member>,
+    /// Ids of upstreams in failure domains that are out.
+    pub out: Vec<vm::Id>,
+}
+
+impl Pool {
+    /// The member on a VM.
+    #[must_use]
+    pub fn member(&self, vm: vm::Id) -> Option<&Member> {
+        let index = self.members.binary_search_by_key(&vm, |member| member.vm).ok()?;
+        self.members.get(index)
+    }
+
+    /// The first and the second member for a flow.
+    #[must_use]
+    pub fn top(&self, flow: u64) -> (Option<vm::Id>, Option<vm::Id>) {
+        Ranking::top(flow, self.members.iter().map(|member| member.vm))
+    }
+
+    /// The member that decides who owns a flow.
+    #[must_use]
+    pub fn home(&self, flow: u64) -> Option<&Member> {
+        self.member(self.top(flow).0?)
+    }
+
+    /// Whether `vm` keeps the record of a flow of `owner`: as its home, or as the second-ranked
+    /// member where the owner is the home itself.
+    #[must_use]
+    pub fn is_holder(&self, flow: u64, owner: vm::Id, vm: vm::Id) -> bool {
+        let (first, second) = self.top(flow);
+        if first == Some(owner) { second == Some(vm) || owner == vm } else { first == Some(vm) }
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyke/src/version/store.rs
@@ -0,0 +1,151 @@
+//! The resources as of one revision, and the changes between two.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hyssopdyke_wire::resource::{Kind, Page, Resource, resource::Body};
+use prost::Message;
+
+/// Removed resources that are remembered, so that copies can be brought forward.
+const TOMBSTONES: usize = 4096;
+
+/// Kind and name of a resource.
+pub type Key = (Kind, Box<str>);
+
+/// Resources by kind and name, and in the order of their last change.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    revision: u64,
+    resources: BTreeMap<Key, Resource>,
+    changes: BTreeSet<(u64, Key)>,
+    tombstones: BTreeSet<(u64, Key)>,
+    /// Copies below this revision cannot be brought forward by changes alone.
+    floor: u64,
+}
+
+impl Store {
+    /// A store without resources at revision 0.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A store that has forgotten removals up to a revision.
+    #[must_use]
+    pub fn with_floor(floor: u64) -> Self {
+        Self { floor, ..Self::default() }
+    }
+
+    /// Revision below which copies cannot be brought forward by changes alone.
+    #[must_use]
+    pub const fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Revision of the last change.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// A resource that exists.
+    #[must_use]
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Resource> {
+        self.resources.get(&(kind, name.into())).filter(|resource| !is_deleted(resource))
+    }
+
+    /// The resources of one kind that exist, by name.
+    pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
+        let range = self.resources.range((kind, Box::from(""))..);
+        let of_kind = range.take_while(move |(key, _)| key.0 == kind);
+        of_kind.map(|(_, resource)| resource).filter(|resource| !is_deleted(resource))
+    }
+
+    /// Takes in a change, unless a later change of the same resource is there already.
+    pub fn put(&mut self, resource: Resource) {
+        let Some(kind) = kind(&resource) else {
+            return;
+        };
+        let key: Key = (kind, resource.name.as_str().into());
+        if let Some(previous) = self.resources.get(&key) {
+            if previous.revision > resource.revision {
+                return;
+            }
+            self.changes.remove(&(previous.revision, key.clone()));
+            self.tombstones.remove(&(previous.revision, key.clone()));
+        }
+        self.revision = self.revision.max(resource.revision);
+        self.changes.insert((resource.revision, key.clone()));
+        if is_deleted(&resource) {
+            self.tombstones.insert((resource.revision, key.clone()));
+        }
+        self.resources.insert(key, resource);
+        self.forget_oldest();
+    }
+
+    /// Moves on to a revision whose changes are all in the store.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// The changes after a revision, whole revisions at a time, up to about `budget` bytes.
+    #[must_use]
+    pub fn since(&self, after: u64, budget: usize) -> Page {
+        let reset = after < self.floor || after > self.revision;
+        let after = if reset { 0 } else { after };
+        let mut page = self.page(after, budget);
+        page.reset = reset;
+        page
+    }
+
+    /// The next page for a reader that is being sent all resources.
+    #[must_use]
+    pub fn page(&self, after: u64, budget: usize) -> Page {
+        let mut page = Page { after, upto: self.revision, complete: true, ..Page::default() };
+        let mut bytes = 0;
+        let start = (after + 1, (Kind::Unspecified, Box::from("")));
+        for (revision, key) in self.changes.range(start..) {
+            let last = page.resources.last().map(|resource| resource.revision);
+            if bytes >= budget && last != Some(*revision) {
+                page.upto = last.unwrap_or(after);
+                page.complete = false;
+                break;
+            }
+            if let Some(resource) = self.resources.get(key) {
+                bytes += resource.encoded_len();
+                page.resources.push(resource.clone());
+            }
+        }
+        page
+    }
+
+    /// Every resource and tombstone, in the order of the last change.
+    pub fn iter(&self) -> impl Iterator<Item = &Resource> {
+        self.changes.iter().filter_map(|(_, key)| self.resources.get(key))
+    }
+
+    fn forget_oldest(&mut self) {
+        while self.tombstones.len() > TOMBSTONES {
+            let Some((revision, key)) = self.tombstones.pop_first() else {
+                return;
+            };
+            self.floor = revision;
+            self.changes.remove(&(revision, key.clone()));
+            self.resources.remove(&key);
+        }
+    }
+}
+
+/// Kind of a resource, also of one that is gone.
+pub(super) fn kind(resource: &Resource) -> Option<Kind> {
+    Some(match resource.body.as_ref()? {
+        Body::Service(_) => Kind::Service,
+        Body::Domain(_) => Kind::Domain,
+        Body::Upstream(_) => Kind::Upstream,
+        Body::Entry(_) => Kind::Entry,
+        Body::Deleted(kind) => Kind::try_from(*kind).ok()?,
+    })
+}
+
+fn is_deleted(resource: &Resource) -> bool {
+    matches!(resource.body, Some(Body::Deleted(_)))
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -0,0 +1,306 @@
+//! The agent as the home of a share of its service's flows.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyssopdyke::connection::{self, Flow, Protocol, Record};
+use hyssopdyke::request::{Packet, Reset};
+use hyssopdyke::vm;
+use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
+use slog::debug;
+
+use super::worker::Worker;
+
+/// Members that are asked one after another before a flow waits for room.
+const TRIES: usize = 4;
+
+/// Time between two offers of the same flow.
+const OFFER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for which a flow waits for room before it is refused.
+const WAIT: Duration = Duration::from_millis(300);
+
+/// Flows that may wait for room at a time.
+const WAITING_FLOWS: usize = 256;
+
+/// Time for which the flows of a member that is gone are kept for its return.
+const ABSENCE: Duration = Duration::from_secs(30);
+
+impl Worker {
+    /// Sends a packet to the owner of its flow, or finds an owner for a new flow.
+    pub(super) fn home(
+        &mut self,
+        flow: Flow,
+        packet: &Packet,
+        is_request: bool,
+        forward: Forward,
+        from: SocketAddr,
+    ) {
+        let opens = packet.segment.is_none_or(|segment| segment.opens());
+        match self.directory.get(&flow) {
+            Some(Record::Owned { owner, isn, absent }) => {
+                let (owner, isn, is_absent) = (*owner, *isn, absent.is_some());
+                if owner == self.me {
+                    // The flow is closed, or else the owner's part had taken the packet.
+                    self.directory.remove(&flow);
+                    self.unplaced(flow, packet, is_request, forward, from);
+                } else if is_absent {
+                    self.metrics.count("dropped.absent");
+                } else if packet.segment.is_some_and(|s| s.opens() && s.sequence != isn) {
+                    self.reoffer(flow, owner, forward.packet);
+                } else {
+                    self.hint(&forward, &flow, owner);
+                    self.send(owner, Body::Forward(Forward { hops: 0, ..forward }));
+                }
+            }
+            Some(Record::Offered(offer)) => {
+                // A copy of the first packet waits for the answer to the offer.
+                if let Some(asked) = offer.asked.filter(|_| !opens || packet.segment.is_none()) {
+                    self.send(asked, Body::Forward(Forward { hops: 0, ..forward }));
+                }
+            }
+            None => self.unplaced(flow, packet, is_request, forward, from),
+        }
+    }
+
+    fn unplaced(
+        &mut self,
+        flow: Flow,
+        packet: &Packet,
+        is_request: bool,
+        forward: Forward,
+        from: SocketAddr,
+    ) {
+        if !self.knows_all_flows() {
+            return self.hold(forward, from);
+        }
+        if packet.segment.is_none_or(|segment| segment.opens()) {
+            self.place(flow, forward.packet);
+        } else if let Some(reset) = Reset::answer(packet) {
+            debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow,
+                "is_request" => is_request);
+            self.metrics.count("reset.unknown");
+            self.send_to_fabric(&reset.encode());
+        }
+    }
+
+    /// Starts to place a new flow.
+    fn place(&mut self, flow: Flow, packet: Bytes) {
+        let now = Instant::now();
+        let declined = Vec::new();
+        let offer = connection::Offer { asked: None, declined, packet, since: now, sent: now };
+        self.directory.offer(flow, offer);
+        self.metrics.count("placed");
+        self.ask_next(flow);
+    }
+
+    /// Offers a new flow between the ends of a former one to the former owner first, which knows
+    /// whether the former one is over.
+    fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes) {
+        let now = Instant::now();
+        let offer = connection::Offer {
+            asked: Some(owner),
+            declined: Vec::new(),
+            packet: packet.clone(),
+            since: now,
+            sent: now,
+        };
+        self.directory.offer(flow, offer);
+        self.send_offer(owner, packet);
+    }
+
+    /// Offers a flow to the next member, until one takes it or none is left.
+    fn ask_next(&mut self, flow: Flow) {
+        loop {
+            let Some(pool) = self.pool.clone() else { return };
+            let Some(offer) = self.directory.offer_mut(&flow) else { return };
+            let candidates = self.peers.candidates(&pool, &offer.declined);
+            let chosen = self.draw.pick(&candidates).filter(|_| offer.declined.len() < TRIES);
+            offer.asked = chosen;
+            offer.sent = Instant::now();
+            let packet = offer.packet.clone();
+            match chosen {
+                None => return self.wait_or_refuse(flow),
+                Some(vm) if vm != self.me => return self.send_offer(vm, packet),
+                Some(_) => {
+                    if self.admit_own(flow, &packet) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Offers a flow to this agent's own upstream; true if it needs no other member.
+    fn admit_own(&mut self, flow: Flow, bytes: &Bytes) -> bool {
+        let Some((packet, is_request)) = self.checked(bytes) else {
+            self.directory.remove(&flow);
+            return true;
+        };
+        let is_admitted = self.admit(self.me, flow, &packet, is_request, bytes).is_ok();
+        if is_admitted {
+            self.directory.remove(&flow);
+        } else if let Some(offer) = self.directory.offer_mut(&flow) {
+            offer.declined.push(self.me);
+        }
+        is_admitted
+    }
+
+    fn wait_or_refuse(&mut self, flow: Flow) {
+        let now = Instant::now();
+        let Some(offer) = self.directory.offer_mut(&flow) else { return };
+        let waits = now.duration_since(offer.since) < WAIT;
+        if waits && self.directory.offered().len() <= WAITING_FLOWS {
+            return;
+        }
+        self.refuse(flow);
+    }
+
+    /// Refuses a flow of which no packet was delivered.
+    fn refuse(&mut self, flow: Flow) {
+        let Some(Record::Offered(offer)) = self.directory.remove(&flow) else { return };
+        debug!(self.events.logger(), "flow refused"; "flow" => %flow);
+        self.metrics.count("refused");
+        let packet = Packet::parse(&offer.packet).ok();
+        if let Some(reset) = packet.as_ref().and_then(Reset::answer) {
+            self.send_to_fabric(&reset.encode());
+        }
+    }
+
+    /// Notes that a member has taken a flow.
+    pub(super) fn accepted(&mut self, flow: Option<&datagram::Flow>, from: SocketAddr) {
+        let (Ok(flow), Some(owner)) = (Flow::try_from(flow), self.peers.id(from)) else {
+            return self.metrics.count("unexpected");
+        };
+        let isn = match self.directory.get(&flow) {
+            Some(Record::Offered(offer)) => first_sequence(&offer.packet),
+            Some(Record::Owned { isn, .. }) => *isn,
+            // The flow has ended, or this agent is no longer its home.
+            None => return,
+        };
+        self.owned(flow, owner, isn);
+    }
+
+    /// Records the owner of a flow, and tells a second owner to let it go.
+    pub(super) fn owned(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
+        if let Some(first) = self.directory.own(flow, owner, isn) {
+            self.send(owner, Body::Owner(Owner { flow: Some(flow.into()), vm: first }));
+        }
+    }
+
+    /// Offers a declined flow to the next member.
+    pub(super) fn declined(&mut self, declined: &Declined, from: SocketAddr) {
+        let (Ok(flow), Some(vm)) = (Flow::try_from(declined.flow.as_ref()), self.peers.id(from))
+        else {
+            return self.metrics.count("unexpected");
+        };
+        self.metrics.count("declined");
+        let Some(offer) = self.directory.offer_mut(&flow).filter(|o| o.asked == Some(vm)) else {
+            return;
+        };
+        // One of the two views is old; the offer is repeated once they agree.
+        if declined.reason() == Reason::NotHome {
+            return;
+        }
+        offer.declined.push(vm);
+        self.ask_next(flow);
+    }
+
+    /// Forgets the owner of a flow that says it does not own it.
+    pub(super) fn disowned(&mut self, unknown: &Unknown, from: SocketAddr) {
+        let (Ok(flow), Some(vm)) = (Flow::try_from(unknown.flow.as_ref()), self.peers.id(from))
+        else {
+            return self.metrics.count("unexpected");
+        };
+        self.directory.end(&flow, vm);
+    }
+
+    /// Repeats offers that were not answered, and offers again what waits for room.
+    pub(super) fn retry_offers(&mut self) {
+        let now = Instant::now();
+        for flow in self.directory.offered() {
+            let Some(offer) = self.directory.offer_mut(&flow) else { continue };
+            if now.duration_since(offer.sent) < OFFER_INTERVAL {
+                continue;
+            }
+            match offer.asked {
+                Some(vm) => self.repeat_offer(flow, vm),
+                None => self.offer_again(flow, now),
+            }
+        }
+    }
+
+    /// Sends an offer again to the member that has not answered it.
+    ///
+    /// A member that is gone may have delivered a datagram, which must not run twice: such a flow
+    /// stays with it. A TCP connection needs an answer that the member can no longer pass on, so
+    /// the flow goes to another member.
+    fn repeat_offer(&mut self, flow: Flow, vm: vm::Id) {
+        let is_present = self.pool.as_ref().is_some_and(|pool| pool.member(vm).is_some());
+        let Some(offer) = self.directory.offer_mut(&flow) else { return };
+        offer.sent = Instant::now();
+        if is_present {
+            let packet = offer.packet.clone();
+            self.send_offer(vm, packet);
+        } else if flow.protocol == Protocol::Tcp {
+            offer.declined.push(vm);
+            self.ask_next(flow);
+        } else {
+            let (isn, packet) = (0, offer.since);
+            debug!(self.events.logger(), "datagram flow lost its upstream"; "flow" => %flow,
+                "age_ms" => packet.elapsed().as_millis());
+            self.directory.remove(&flow);
+            self.directory.own(flow, vm, isn);
+            self.mark_absent();
+        }
+    }
+
+    /// Offers a waiting flow to a member that last reported room, or refuses it.
+    fn offer_again(&mut self, flow: Flow, now: Instant) {
+        let Some(pool) = self.pool.clone() else { return };
+        let Some(offer) = self.directory.offer_mut(&flow) else { return };
+        if now.duration_since(offer.since) >= WAIT {
+            return self.refuse(flow);
+        }
+        let with_room = self.peers.with_room(&pool);
+        // Of the tries of a round, only one is left for a flow that waits.
+        let all = self.peers.candidates(&pool, &[]);
+        let chosen = self.draw.pick(if with_room.is_empty() { &all } else { &with_room });
+        offer.declined =
+            all.iter().map(|candidate| candidate.vm).filter(|vm| Some(*vm) != chosen).collect();
+        offer.declined.truncate(TRIES - 1);
+        offer.sent = now;
+        offer.asked = chosen;
+        let packet = offer.packet.clone();
+        match chosen {
+            None => {}
+            Some(vm) if vm != self.me => self.send_offer(vm, packet),
+            Some(_) => {
+                if !self.admit_own(flow, &packet)
+                    && let Some(offer) = self.directory.offer_mut(&flow)
+                {
+                    offer.asked = None;
+                }
+            }
+        }
+    }
+
+    /// Marks the owners that are not members as absent.
+    pub(super) fn mark_absent(&mut self) {
+        if let Some(pool) = self.pool.clone() {
+            let is_present = |vm| pool.member(vm).is_some();
+            self.directory.mark_absent(Instant::now(), is_present);
+        }
+    }
+
+    /// Gives up the flows of members that did not return.
+    pub(super) fn sweep_records(&mut self, now: Instant) {
+        self.directory.expire_absent(now, ABSENCE);
+    }
+}
+
+fn first_sequence(packet: &Bytes) -> u32 {
+    let packet = Packet::parse(packet).ok();
+    packet.and_then(|packet| packet.segment).map_or(0, |segment| segment.sequence)
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -0,0 +1,64 @@
+//! The agent: the last gate before one upstream.
+//!
+//! An agent is the owner of its upstream's flows, the home of a share of its service's flows, and
+//! the only judge of what its upstream bears. One task does the work of all flows, since a flow
+//! is a row in its tables; the sockets, the session with control and the signals have tasks of
+//! their own.
+
+mod home;
+mod owner;
+mod peers;
+mod report;
+mod worker;
+
+use std::net::SocketAddr;
+
+use eyre::{Result, WrapErr};
+use hyssopdyke_wire::session::hello;
+use hyssopdyke_wire::{Key, Purpose, resource};
+use slog::info;
+
+use crate::log::Events;
+use crate::metrics::Metrics;
+use crate::node::{Announcement, Link, Membership, Session, Tunnel};
+use crate::settings::{Agent, Settings};
+use crate::stop::Stop;
+use worker::{Sockets, Worker};
+
+/// Runs an agent until it is asked to stop.
+pub(crate) async fn run(settings: Settings<Agent>, events: Events, mut stop: Stop) -> Result<()> {
+    let Settings { common, role } = settings;
+    let key = Key::derive(&common.cluster.passphrase, Purpose::Datagram);
+    let answers = SocketAddr::new(common.vm.address, role.answer_port);
+    let answers =
+        Tunnel::bind(answers).wrap_err_with(|| format!("[agent] answer_port: {answers}"))?;
+    let peers = SocketAddr::new(common.vm.address, role.peer_port);
+    let link = Link::bind(peers, key).wrap_err_with(|| format!("[agent] peer_port: {peers}"))?;
+    let boot = rand::random();
+    let announcement = Announcement {
+        name: common.vm.name.clone(),
+        role: hello::Role::Upstream(resource::Upstream {
+            domain: common.vm.domain.to_string(),
+            service: role.service.to_string(),
+            address: link.local_addr()?.to_string(),
+            boot,
+            ..resource::Upstream::default()
+        }),
+    };
+    info!(events.logger(), "agent started"; "service" => &*role.service,
+        "answers" => %answers.local_addr()?, "peers" => %link.local_addr()?);
+    let mut session = Session::spawn(&common.cluster, announcement, events.logger().clone());
+    let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
+    let metrics = Metrics::open("agent", &common)?;
+    let sockets = Sockets { link, answers };
+    let mut worker = Worker::new(&common, role, boot, sockets, membership, metrics, events.clone());
+    tokio::select! {
+        result = worker.run(&mut session) => return result,
+        () = stop.asked() => {}
+    }
+    info!(events.logger(), "agent leaves");
+    worker.finish(&mut session).await?;
+    session.leave().await;
+    info!(events.logger(), "agent stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -0,0 +1,238 @@
+//! The agent as the owner of its upstream's flows.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyssopdyke::connection::{Connection, Event, Flow, Protocol};
+use hyssopdyke::request::Packet;
+use hyssopdyke::vm;
+use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Record, datagram::Body};
+use slog::{debug, info, warn};
+
+use super::worker::Worker;
+
+/// Time for which a closed flow is remembered, so that its last packets find the upstream.
+const LINGER: Duration = Duration::from_secs(5);
+
+/// Time in which an upstream must take a connection.
+const OPENING: Duration = Duration::from_secs(1);
+
+/// Time between two probes of a silent flow.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Probes without an answer after which a flow is given up.
+const PROBES: u32 = 3;
+
+impl Worker {
+    /// Whether a packet belongs to a flow that this agent owns.
+    pub(super) fn is_own(&self, flow: &Flow, packet: &Packet) -> bool {
+        let Some(connection) = self.table.get(flow) else {
+            return false;
+        };
+        // A new connection between the ends of a closed one is placed anew.
+        let reopens = packet
+            .segment
+            .is_some_and(|segment| segment.opens() && segment.sequence != connection.isn);
+        !(connection.is_closed() && reopens)
+    }
+
+    /// Hands a caller's packet to the upstream.
+    pub(super) fn deliver(&mut self, flow: &Flow, packet: &Packet, bytes: &Bytes) {
+        self.table.inbound(flow, packet.segment.as_ref(), Instant::now());
+        self.metrics.count("delivered");
+        self.send_to_upstream(bytes);
+    }
+
+    /// Answers a home that offers a flow.
+    pub(super) fn offered(&mut self, offer: &Offer, from: SocketAddr) {
+        let Some(home) = self.peers.id(from) else {
+            return self.metrics.count("dropped.no_peer");
+        };
+        let Some((packet, is_request)) = self.checked(&offer.packet) else {
+            return;
+        };
+        let flow = packet.inbound();
+        let answer = match self.admit(home, flow, &packet, is_request, &offer.packet) {
+            Ok(()) => Body::Accepted(Accepted { flow: Some(flow.into()) }),
+            Err(reason) => {
+                Body::Declined(Declined { flow: Some(flow.into()), reason: reason as i32 })
+            }
+        };
+        self.send_to(from, answer);
+    }
+
+    /// Takes a flow that `home` offers and delivers its first packet, or says why not.
+    ///
+    /// A declined flow has had no packet delivered, so it may be placed elsewhere.
+    pub(super) fn admit(
+        &mut self,
+        home: vm::Id,
+        flow: Flow,
+        packet: &Packet,
+        is_request: bool,
+        bytes: &Bytes,
+    ) -> Result<(), Reason> {
+        let now = Instant::now();
+        // Until the flows of a former process are known, the upstream's load is not.
+        if !self.may_act(now) || self.is_fresh {
+            return Err(Reason::Inactive);
+        }
+        if self.is_own(&flow, packet) {
+            self.deliver(&flow, packet, bytes);
+            return Ok(());
+        }
+        self.check_room(home, &flow, is_request)?;
+        let isn = packet.segment.map_or(0, |segment| segment.sequence);
+        self.table.insert(flow, Connection::new(isn, now, is_request));
+        debug!(self.events.logger(), "flow admitted"; "flow" => %flow,
+            "connections" => self.table.connections(), "slots" => self.table.slots());
+        self.metrics.count("admitted");
+        self.note_opened(&flow, home, isn);
+        self.deliver(&flow, packet, bytes);
+        Ok(())
+    }
+
+    fn check_room(&mut self, home: vm::Id, flow: &Flow, is_request: bool) -> Result<(), Reason> {
+        let hash = self.hash(flow);
+        let pool = self.pool.as_ref().ok_or(Reason::Inactive)?;
+        if pool.top(hash).0 != Some(home) {
+            return Err(Reason::NotHome);
+        }
+        if pool.member(self.me).is_none_or(|member| member.draining) {
+            return Err(Reason::Draining);
+        }
+        let is_full = self.table.connections() >= pool.connections
+            || (is_request && self.table.slots() >= self.limit.current());
+        if is_full { Err(Reason::Full) } else { Ok(()) }
+    }
+
+    /// Passes an answer of the upstream on to the fabric.
+    pub(super) fn answered(&mut self, bytes: &Bytes) {
+        let now = Instant::now();
+        if !self.may_act(now) {
+            return self.metrics.count("dropped.inactive");
+        }
+        let Ok(packet) = Packet::parse(bytes) else {
+            return self.metrics.count("dropped.malformed");
+        };
+        let flow = packet.outbound();
+        let busy = self.table.slots();
+        let Some(event) = self.table.outbound(&flow, packet.segment.as_ref(), now) else {
+            return self.metrics.count("dropped.unknown_answer");
+        };
+        match event {
+            Some(Event::Answered(age)) => {
+                let since = now.checked_sub(age).unwrap_or(now);
+                self.limit.answered(since, now, busy);
+            }
+            Some(Event::Failed) => self.upstream_failed(&flow, now),
+            Some(Event::Opened(_)) | None => {}
+        }
+        self.metrics.count("answered");
+        self.send_to_fabric(bytes);
+    }
+
+    fn upstream_failed(&mut self, flow: &Flow, now: Instant) {
+        let since = self.table.get(flow).map_or(now, |connection| connection.since);
+        let was_ejected = self.limit.is_ejected(now);
+        self.limit.failed(since, now);
+        self.metrics.count("failed");
+        debug!(self.events.logger(), "flow failed at the upstream"; "flow" => %flow,
+            "limit" => self.limit.current());
+        if !was_ejected && self.limit.is_ejected(now) {
+            warn!(self.events.logger(), "upstream ejected"; "limit" => self.limit.current());
+        }
+    }
+
+    /// Lets a flow go that another member owns.
+    pub(super) fn let_go(&mut self, owner: &Owner) {
+        let Ok(flow) = Flow::try_from(owner.flow.as_ref()) else {
+            return self.metrics.count("unexpected");
+        };
+        if owner.vm != self.me && self.table.get(&flow).is_some() {
+            warn!(self.events.logger(), "flow has another owner"; "flow" => %flow);
+            self.reset_upstream(&flow);
+            self.table.remove(&flow);
+        }
+    }
+
+    /// Gives all flows up, as the agent's failure domain was taken out.
+    pub(super) fn give_up_all(&mut self) {
+        let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
+        info!(self.events.logger(), "failure domain is out"; "flows" => flows.len());
+        for flow in flows {
+            self.give_up(&flow);
+        }
+        self.limit.cool(Instant::now());
+    }
+
+    /// Closes what is over, probes what is silent, and gives up what does not answer.
+    pub(super) fn sweep_flows(&mut self, now: Instant) {
+        for flow in self.table.expired(now, LINGER, self.settings.datagram_idle) {
+            self.forget(&flow);
+        }
+        for flow in self.unopened(now) {
+            debug!(self.events.logger(), "upstream does not take the flow"; "flow" => %flow);
+            self.upstream_failed(&flow, now);
+            self.reset_upstream(&flow);
+            self.forget(&flow);
+        }
+        for (flow, probes) in self.table.silent(now, self.settings.probe_after, PROBE_INTERVAL) {
+            if probes >= PROBES {
+                info!(self.events.logger(), "silent flow given up"; "flow" => %flow);
+                self.metrics.count("silent");
+                self.give_up(&flow);
+            } else if let Some(probe) = self.table.probe(&flow, now) {
+                if let Some(upstream) = probe.upstream {
+                    self.send_to_upstream(&upstream.encode());
+                }
+                if let Some(caller) = probe.caller {
+                    self.send_to_fabric(&caller.encode());
+                }
+            }
+        }
+    }
+
+    /// TCP flows whose upstream has not answered the first packet in time.
+    ///
+    /// Their callers have seen no answer, and will see none once the flow is forgotten, so that
+    /// the next SYN may be placed elsewhere.
+    fn unopened(&self, now: Instant) -> Vec<Flow> {
+        let unopened = self.table.iter().filter(|(flow, connection)| {
+            flow.protocol == Protocol::Tcp
+                && !connection.is_open()
+                && !connection.is_closed()
+                && now.duration_since(connection.since) >= OPENING
+        });
+        unopened.map(|(flow, _)| *flow).collect()
+    }
+
+    /// Resets both ends of a flow and forgets it.
+    fn give_up(&mut self, flow: &Flow) {
+        let resets = self.table.resets(flow);
+        if let Some(reset) = resets.upstream {
+            self.send_to_upstream(&reset.encode());
+        }
+        if let Some(reset) = resets.caller {
+            self.send_to_fabric(&reset.encode());
+        }
+        self.forget(flow);
+    }
+
+    fn reset_upstream(&mut self, flow: &Flow) {
+        if let Some(reset) = self.table.resets(flow).upstream {
+            self.send_to_upstream(&reset.encode());
+        }
+    }
+
+    fn forget(&mut self, flow: &Flow) {
+        if let Some(connection) = self.table.remove(flow) {
+            self.note_ended(flow, connection.isn);
+        }
+    }
+
+    pub(super) fn record(&self, flow: &Flow, isn: u32) -> Record {
+        Record { flow: Some((*flow).into()), isn, owner: self.me }
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -0,0 +1,61 @@
+//! What an agent knows of the other members of its service.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use hyssopdyke::request::Candidate;
+use hyssopdyke::version::Pool;
+use hyssopdyke::vm;
+use hyssopdyke_wire::datagram::Load;
+
+/// Addresses and last reported loads of the members.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    ids: HashMap<SocketAddr, vm::Id>,
+    loads: HashMap<vm::Id, Load>,
+}
+
+impl Peers {
+    /// Follows a change of members.
+    pub(super) fn follow(&mut self, pool: &Pool) {
+        self.ids = pool.members.iter().map(|member| (member.address, member.vm)).collect();
+        self.loads.retain(|vm, _| pool.member(*vm).is_some());
+    }
+
+    /// The member at an address.
+    pub(super) fn id(&self, address: SocketAddr) -> Option<vm::Id> {
+        self.ids.get(&address).copied()
+    }
+
+    /// Notes a member's load.
+    pub(super) fn note(&mut self, vm: vm::Id, load: Load) {
+        self.loads.insert(vm, load);
+    }
+
+    /// Members that may take a new flow, without those that declined it.
+    ///
+    /// Ejected members are left out, unless fewer than half of the service would be left.
+    pub(super) fn candidates(&self, pool: &Pool, declined: &[vm::Id]) -> Vec<Candidate> {
+        let is_ejected = |vm| self.loads.get(&vm).is_some_and(|load| load.ejected);
+        let active: Vec<_> = pool.members.iter().filter(|member| !member.draining).collect();
+        let sound = active.iter().filter(|member| !is_ejected(member.vm)).count();
+        let takes_all = sound * 2 < active.len();
+        active
+            .into_iter()
+            .filter(|member| takes_all || !is_ejected(member.vm))
+            .filter(|member| !declined.contains(&member.vm))
+            .map(|member| Candidate {
+                vm: member.vm,
+                weight: self.loads.get(&member.vm).map_or(0, |load| load.weight),
+            })
+            .collect()
+    }
+
+    /// Members that last reported room.
+    pub(super) fn with_room(&self, pool: &Pool) -> Vec<Candidate> {
+        let has_room = |vm| self.loads.get(&vm).is_some_and(|load| load.room > 0);
+        let mut candidates = self.candidates(pool, &[]);
+        candidates.retain(|candidate| has_room(candidate.vm));
+        candidates
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -0,0 +1,233 @@
+//! Reports between the members of a service, which keep each flow known to its home.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hyssopdyke::connection::{self, Connection, Flow};
+use hyssopdyke::version::Pool;
+use hyssopdyke::vm;
+use hyssopdyke_wire::datagram::{Record, Report, Reported, datagram::Body};
+use slog::{debug, info};
+
+use super::worker::{Increment, Worker};
+
+/// Records in one report, so that it fits a datagram.
+const RECORDS: usize = 24;
+
+impl Worker {
+    /// Whether every other member has reported the flows whose home this agent is.
+    pub(super) fn knows_all_flows(&self) -> bool {
+        let Some(pool) = &self.pool else {
+            return false;
+        };
+        let others = pool.members.iter().map(|member| member.vm).filter(|vm| *vm != self.me);
+        self.barrier.is_complete(pool.epoch, others)
+    }
+
+    /// Reports all flows anew, since homes have moved.
+    pub(super) fn epoch_changed(&mut self, pool: &Pool) {
+        self.peers.follow(pool);
+        self.barrier.retain(|vm| pool.member(vm).is_some());
+        self.outbox.retain(|_, _| false);
+        self.increments.clear();
+        self.mark_absent();
+        self.directory.retain(|_, record| {
+            !matches!(record, connection::Record::Owned { owner, .. } if pool.out.contains(owner))
+        });
+        if !self.is_member {
+            return;
+        }
+        let me = self.me;
+        for member in pool.members.iter().filter(|member| member.vm != me) {
+            self.report_all(pool, member.vm);
+        }
+        self.release_held();
+    }
+
+    fn report_all(&mut self, pool: &Pool, to: vm::Id) {
+        let records = self.records_for(pool, to);
+        let parts = records.len().div_ceil(RECORDS).max(1) as u32;
+        let mut chunks = records.chunks(RECORDS);
+        for part in 0..parts {
+            let opened = chunks.next().unwrap_or_default().to_vec();
+            let epoch = pool.epoch;
+            self.outbox.push(to, |sequence| Report {
+                sequence,
+                epoch,
+                opened,
+                ended: Vec::new(),
+                part,
+                parts,
+            });
+        }
+    }
+
+    /// What a member must know: the flows of this agent that it holds records of, the flows that
+    /// it owns itself and may have forgotten, and the flows of missing owners whose home it is.
+    fn records_for(&self, pool: &Pool, to: vm::Id) -> Vec<Record> {
+        let own = self.table.iter().filter(|(_, connection)| !connection.is_closed());
+        let own = own
+            .filter(|(flow, _)| pool.is_holder(self.hash(flow), self.me, to))
+            .map(|(flow, connection)| self.record(flow, connection.isn));
+        let others = self.directory.iter().filter_map(|(flow, record)| match record {
+            connection::Record::Owned { owner, isn, absent } => {
+                let is_lost = absent.is_some() && pool.top(self.hash(flow)).0 == Some(to);
+                (*owner == to || is_lost).then(|| Record {
+                    flow: Some((*flow).into()),
+                    isn: *isn,
+                    owner: *owner,
+                })
+            }
+            connection::Record::Offered(_) => None,
+        });
+        own.chain(others).collect()
+    }
+
+    /// Notes a flow for the report to the member that must know of it besides the home.
+    pub(super) fn note_opened(&mut self, flow: &Flow, home: vm::Id, isn: u32) {
+        let record = self.record(flow, isn);
+        if let Some(holder) = self.holder(flow) {
+            // The home learns of the flow from the answer to its offer.
+            if holder != home {
+                self.increments.entry(holder).or_default().opened.push(record.clone());
+            }
+        }
+    }
+
+    /// Notes the end of a flow for the report to the member that knows of it.
+    pub(super) fn note_ended(&mut self, flow: &Flow, isn: u32) {
+        let record = self.record(flow, isn);
+        if let Some(holder) = self.holder(flow) {
+            self.increments.entry(holder).or_default().ended.push(record.clone());
+        }
+    }
+
+    /// The other member that keeps a record of a flow of this agent.
+    fn holder(&self, flow: &Flow) -> Option<vm::Id> {
+        let (first, second) = self.pool.as_ref()?.top(self.hash(flow));
+        if first == Some(self.me) { second } else { first }
+    }
+
+    /// Turns what was noted into reports.
+    pub(super) fn flush_increments(&mut self) {
+        let epoch = self.pool.as_ref().map_or(0, |pool| pool.epoch);
+        for (to, increment) in std::mem::take(&mut self.increments) {
+            let Increment { opened, ended } = increment;
+            let mut opened = opened.chunks(RECORDS);
+            let mut ended = ended.chunks(RECORDS);
+            loop {
+                let (opened, ended) = (opened.next(), ended.next());
+                if opened.is_none() && ended.is_none() {
+                    break;
+                }
+                let opened = opened.unwrap_or_default().to_vec();
+                let ended = ended.unwrap_or_default().to_vec();
+                self.outbox.push(to, |sequence| Report {
+                    sequence,
+                    epoch,
+                    opened,
+                    ended,
+                    part: 0,
+                    parts: 0,
+                });
+            }
+        }
+    }
+
+    /// Sends the reports that are due.
+    pub(super) fn send_reports(&mut self) {
+        let Some(pool) = self.pool.clone().filter(|_| self.is_member) else {
+            return;
+        };
+        let now = Instant::now();
+        let (link, membership) = (&mut self.link, &self.membership);
+        self.outbox.send_due(now, |to, report| {
+            if let Some(member) = pool.member(to) {
+                link.send(&membership.message(Body::Report(report.clone())), member.address);
+            }
+        });
+    }
+
+    /// Takes in a member's report.
+    pub(super) fn reported(&mut self, report: &Report, from: SocketAddr) {
+        let Some(sender) = self.peers.id(from) else {
+            return self.metrics.count("dropped.no_peer");
+        };
+        let Some(pool) = self.pool.clone() else {
+            return;
+        };
+        // A report for members that this agent does not know yet is sent again later.
+        if report.parts > 0 && report.epoch != pool.epoch {
+            return self.metrics.count("dropped.epoch");
+        }
+        for record in &report.opened {
+            self.note_record(&pool, record);
+        }
+        for record in &report.ended {
+            if let Ok(flow) = Flow::try_from(record.flow.as_ref()) {
+                self.directory.end(&flow, record.owner);
+            }
+        }
+        self.send_to(from, Body::Reported(Reported { sequence: report.sequence }));
+        if report.parts > 0 {
+            self.barrier.arrive(sender, report.epoch, report.part, report.parts);
+            self.release_held();
+        }
+    }
+
+    fn note_record(&mut self, pool: &Pool, record: &Record) {
+        let Ok(flow) = Flow::try_from(record.flow.as_ref()) else {
+            return self.metrics.count("unexpected");
+        };
+        if record.owner == self.me {
+            return self.adopt(flow, record.isn);
+        }
+        if pool.out.contains(&record.owner) {
+            return;
+        }
+        self.owned(flow, record.owner, record.isn);
+        if pool.member(record.owner).is_none() {
+            self.mark_absent();
+        }
+    }
+
+    /// Takes back a flow that a former process of this agent admitted.
+    fn adopt(&mut self, flow: Flow, isn: u32) {
+        if !self.is_fresh || self.table.get(&flow).is_some() {
+            return;
+        }
+        let view = self.membership.view();
+        let Some(service) = view.service(flow.service, flow.protocol) else {
+            return;
+        };
+        // Whether the request still runs is unknown; its slot is taken until it has ended.
+        let connection = Connection::adopted(isn, Instant::now(), service.is_request);
+        debug!(self.events.logger(), "flow adopted"; "flow" => %flow);
+        self.metrics.count("adopted");
+        self.table.insert(flow, connection);
+    }
+
+    /// Serves the packets that waited, once every member has reported.
+    fn release_held(&mut self) {
+        if !self.is_member || !self.knows_all_flows() {
+            return;
+        }
+        if self.is_fresh {
+            self.is_fresh = false;
+            info!(self.events.logger(), "flows taken over"; "flows" => self.table.len());
+            self.report_adopted();
+        }
+        for (forward, from) in std::mem::take(&mut self.held) {
+            self.forwarded(forward, from);
+        }
+    }
+
+    /// Reports the adopted flows to their holders, which were told of none by the first report.
+    fn report_adopted(&mut self) {
+        let adopted: Vec<_> =
+            self.table.iter().map(|(flow, connection)| (*flow, connection.isn)).collect();
+        for (flow, isn) in adopted {
+            self.note_opened(&flow, self.me, isn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -0,0 +1,278 @@
+//! The operators' API: resources over HTTP and JSON, with watches.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use hyssopdyke::version::Outcome;
+use hyssopdyke_wire::ledger::{Voter, Write, command};
+use hyssopdyke_wire::resource::{Kind, Listing, Page, Resource, Status, resource};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use super::handle::Handle;
+use super::leases::Leases;
+use super::problem::Problem;
+use super::validate::{self, Fault};
+
+/// Bytes of the longest request body.
+const BODY_BYTES: usize = 64 << 10;
+
+/// Bytes of resources in one page of a watch.
+const PAGE_BYTES: usize = 64 << 10;
+
+/// Header under which a repeated write gets the first answer.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Characters of the longest idempotency key.
+const KEY_LENGTH: usize = 128;
+
+#[derive(Clone)]
+struct Api {
+    handle: Handle,
+    leases: Arc<Leases>,
+}
+
+/// Where a watch starts.
+#[derive(Debug, Deserialize)]
+struct Start {
+    #[serde(default)]
+    after: u64,
+}
+
+/// A control VM that shall vote.
+#[derive(Debug, Serialize, Deserialize)]
+struct Member {
+    name: Box<str>,
+    address: Box<str>,
+}
+
+/// The control VMs that vote, and who leads them.
+#[derive(Debug, Serialize)]
+struct Members {
+    leader: Option<Box<str>>,
+    term: u64,
+    voters: Vec<Member>,
+}
+
+/// Serves operators.
+pub(super) async fn serve(
+    listener: TcpListener,
+    handle: Handle,
+    leases: Arc<Leases>,
+) -> std::io::Result<()> {
+    let router = Router::new()
+        .route("/v1/status", get(status))
+        .route("/v1/watch", get(watch))
+        .route("/v1/members", get(members).post(admit))
+        .route("/v1/members/{name}", post(admit).delete(remove))
+        .route("/v1/{kind}", get(list))
+        .route("/v1/{kind}/{name}", get(read).put(write).delete(delete))
+        .layer(DefaultBodyLimit::max(BODY_BYTES))
+        .with_state(Api { handle, leases });
+    axum::serve(listener, router).await
+}
+
+async fn status(State(api): State<Api>) -> Result<Json<Status>, Problem> {
+    api.handle.confirm().await?;
+    let registry = api.handle.registry().await;
+    Ok(Json(api.leases.status(registry.store())))
+}
+
+async fn list(
+    State(api): State<Api>,
+    Path(kind): Path<Box<str>>,
+) -> Result<Json<Listing>, Problem> {
+    let kind = parse_kind(&kind)?;
+    api.handle.confirm().await?;
+    let registry = api.handle.registry().await;
+    let resources = registry.store().list(kind).cloned().collect();
+    Ok(Json(Listing { revision: registry.store().revision(), resources }))
+}
+
+async fn read(
+    State(api): State<Api>,
+    Path((kind, name)): Path<(Box<str>, Box<str>)>,
+) -> Result<Response, Problem> {
+    let kind = parse_kind(&kind)?;
+    api.handle.confirm().await?;
+    let registry = api.handle.registry().await;
+    let resource = registry.store().get(kind, &name).ok_or(Problem::NotFound)?;
+    Ok(tagged(StatusCode::OK, resource.clone()))
+}
+
+async fn write(
+    State(api): State<Api>,
+    Path((kind, name)): Path<(Box<str>, Box<str>)>,
+    headers: HeaderMap,
+    Json(mut resource): Json<Resource>,
+) -> Result<Response, Problem> {
+    let kind = parse_kind(&kind)?;
+    validate::name(&name)?;
+    resource.name = name.into();
+    {
+        let registry = api.handle.registry().await;
+        match (kind, &resource.body) {
+            (Kind::Service, Some(resource::Body::Service(service))) => {
+                validate::service(registry.store(), &resource.name, service)?;
+            }
+            (Kind::Domain, Some(resource::Body::Domain(_)))
+            | (Kind::Upstream, Some(resource::Body::Upstream(_))) => {}
+            (Kind::Entry, _) => return Err(Fault::ReadOnly("entry").into()),
+            _ => return Err(Fault::Kind(kind_name(kind)).into()),
+        }
+    }
+    change(&api, &headers, resource).await
+}
+
+async fn delete(
+    State(api): State<Api>,
+    Path((kind, name)): Path<(Box<str>, Box<str>)>,
+    headers: HeaderMap,
+) -> Result<Response, Problem> {
+    let kind = parse_kind(&kind)?;
+    if kind == Kind::Entry {
+        return Err(Fault::ReadOnly("entry").into());
+    }
+    let body = Some(resource::Body::Deleted(kind as i32));
+    let resource = Resource { name: name.into(), body, ..Resource::default() };
+    change(&api, &headers, resource).await
+}
+
+async fn change(api: &Api, headers: &HeaderMap, resource: Resource) -> Result<Response, Problem> {
+    let write = Write {
+        idempotency_key: idempotency_key(headers)?,
+        expected: expected(headers)?,
+        resource: Some(resource),
+    };
+    match api.handle.propose(command::Body::Write(write)).await? {
+        Outcome::Written(resource) => Ok(tagged(StatusCode::OK, resource)),
+        Outcome::Conflict(current) => Err(Problem::Conflict(current.map(Box::new))),
+        Outcome::Missing | Outcome::Recorded => Err(Problem::NotFound),
+    }
+}
+
+/// Streams pages of changes, one JSON document a line.
+///
+/// A slow reader holds no memory here: its next page is made when it has taken the one before,
+/// from the state as it then is.
+async fn watch(State(api): State<Api>, Query(start): Query<Start>) -> Result<Response, Problem> {
+    api.handle.confirm().await?;
+    let first = api.handle.registry().await.store().since(start.after, PAGE_BYTES);
+    if first.reset && start.after != 0 {
+        return Err(Problem::Gone(start.after));
+    }
+    let revisions = api.handle.revision.clone();
+    let pages = futures_util::stream::unfold(
+        (api, revisions, Some(first), start.after),
+        async |(api, mut revisions, mut ready, mut cursor)| {
+            loop {
+                let page = match ready.take() {
+                    Some(page) => page,
+                    None => api.handle.registry().await.store().since(cursor, PAGE_BYTES),
+                };
+                if page.reset && cursor != 0 {
+                    return None;
+                }
+                if page.upto > cursor {
+                    cursor = page.upto;
+                    return Some((
+                        Ok::<_, Infallible>(line(&page)),
+                        (api, revisions, None, cursor),
+                    ));
+                }
+                revisions.wait_for(|revision| *revision > cursor).await.ok()?;
+            }
+        },
+    );
+    let body = Body::from_stream(pages);
+    Ok(([(header::CONTENT_TYPE, "application/x-ndjson")], body).into_response())
+}
+
+fn line(page: &Page) -> Bytes {
+    // A page of generated types always has a JSON form.
+    let mut bytes = serde_json::to_vec(page).unwrap_or_default();
+    bytes.push(b'\n');
+    bytes.into()
+}
+
+async fn members(State(api): State<Api>) -> Result<Json<Members>, Problem> {
+    api.handle.confirm().await?;
+    let leadership = api.handle.leadership.borrow().clone();
+    let registry = api.handle.registry().await;
+    let voters = registry.configuration().voters.iter();
+    let voters = voters.map(|voter| Member {
+        name: voter.name.as_str().into(),
+        address: voter.address.as_str().into(),
+    });
+    let voters = voters.collect();
+    Ok(Json(Members { leader: leadership.leader, term: leadership.term, voters }))
+}
+
+async fn admit(State(api): State<Api>, Json(member): Json<Member>) -> Result<StatusCode, Problem> {
+    validate::name(&member.name)?;
+    if member.address.parse::<std::net::SocketAddr>().is_err() {
+        return Err(Fault::Address(member.address).into());
+    }
+    let voter = Voter { name: member.name.into(), identity: 0, address: member.address.into() };
+    api.handle.admit(voter).await?;
+    Ok(StatusCode::ACCEPTED)
+}
+
+async fn remove(State(api): State<Api>, Path(name): Path<Box<str>>) -> Result<StatusCode, Problem> {
+    api.handle.remove(name).await?;
+    Ok(StatusCode::ACCEPTED)
+}
+
+fn tagged(status: StatusCode, resource: Resource) -> Response {
+    let tag = format!("\"{}\"", resource.generation);
+    (status, [(header::ETAG, tag)], Json(resource)).into_response()
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<String, Problem> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Err(Problem::Header(IDEMPOTENCY_KEY, "is needed on every write"));
+    };
+    match value.to_str() {
+        Ok(key) if (1..=KEY_LENGTH).contains(&key.len()) => Ok(key.to_owned()),
+        _ => Err(Problem::Header(IDEMPOTENCY_KEY, "must be 1 to 128 printable characters")),
+    }
+}
+
+/// Generation that a write names, 0 for a resource that must not exist.
+fn expected(headers: &HeaderMap) -> Result<Option<u64>, Problem> {
+    if headers.get(header::IF_NONE_MATCH).is_some_and(|value| value == "*") {
+        return Ok(Some(0));
+    }
+    let Some(value) = headers.get(header::IF_MATCH) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim_matches('"');
+    let number = text.parse().map_err(|_| Problem::Header("if-match", "is not a generation"))?;
+    Ok(Some(number))
+}
+
+fn parse_kind(text: &str) -> Result<Kind, Problem> {
+    Ok(match text {
+        "services" => Kind::Service,
+        "domains" => Kind::Domain,
+        "upstreams" => Kind::Upstream,
+        "entries" => Kind::Entry,
+        _ => return Err(Problem::UnknownKind(text.into())),
+    })
+}
+
+const fn kind_name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Service => "service",
+        Kind::Domain => "domain",
+        Kind::Upstream => "upstream",
+        Kind::Entry => "entry",
+        Kind::Unspecified => "unspecified",
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/control/replica.rs
@@ -0,0 +1,94 @@
+//! The connections between control VMs.
+//!
+//! Each VM opens a connection to each other one and sends on it; what it receives comes on the
+//! connections that the others have opened. A message that cannot be sent is dropped, since the
+//! log repeats whatever was not answered.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use hyssopdyke_wire::ledger::Message;
+use hyssopdyke_wire::{Codec, Key};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, FramedRead};
+
+use super::handle::{Handle, Request};
+
+/// Bytes of the longest message: a snapshot of the whole state.
+const MESSAGE_BYTES: usize = 32 << 20;
+
+/// Messages that may wait for a connection.
+const QUEUE: usize = 64;
+
+/// Time for connecting, and for writing a message.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Pause before a lost connection is opened again.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Connections to other control VMs.
+pub(super) struct Outgoing {
+    key: Key,
+    peers: HashMap<SocketAddr, (mpsc::Sender<Message>, JoinHandle<()>)>,
+}
+
+impl Outgoing {
+    pub(super) fn new(key: Key) -> Self {
+        Self { key, peers: HashMap::new() }
+    }
+
+    /// Sends a message, or drops it where too many wait.
+    pub(super) fn send(&mut self, to: SocketAddr, message: Message) {
+        let (sender, _) = self.peers.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(QUEUE);
+            (sender, tokio::spawn(feed(to, self.key.clone(), receiver)))
+        });
+        let _ = sender.try_send(message);
+    }
+
+    /// Closes the connections to all but `peers`.
+    pub(super) fn retain(&mut self, peers: impl Fn(&SocketAddr) -> bool) {
+        self.peers.retain(|address, _| peers(address));
+    }
+}
+
+/// Sends messages to one VM, over one connection after another.
+async fn feed(to: SocketAddr, key: Key, mut messages: mpsc::Receiver<Message>) {
+    while !messages.is_closed() {
+        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(to)).await {
+            let _ = stream.set_nodelay(true);
+            let codec = Codec::with_frame_bytes(key.clone(), MESSAGE_BYTES);
+            let mut stream = Framed::new(stream, codec);
+            while let Some(message) = messages.recv().await {
+                if !matches!(timeout(PATIENCE, stream.send(message)).await, Ok(Ok(()))) {
+                    break;
+                }
+            }
+        }
+        sleep(RETRY).await;
+        // What waited meanwhile is out of date.
+        while messages.try_recv().is_ok() {}
+    }
+}
+
+/// Takes messages from other control VMs.
+pub(super) async fn serve(listener: TcpListener, key: Key, handle: Handle) -> std::io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let codec = Codec::<Message>::with_frame_bytes(key.clone(), MESSAGE_BYTES);
+        let mut stream = FramedRead::new(stream, codec);
+        let inbox = handle.inbox.clone();
+        tokio::spawn(async move {
+            while let Some(Ok(message)) = stream.next().await {
+                if inbox.send(Request::Message(message)).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -0,0 +1,223 @@
+//! The daemons' sessions: registration, renewals, and the state page by page.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use hyssopdyke_wire::ledger::{Register, Unregister, command};
+use hyssopdyke_wire::resource::{Kind, Resource, resource};
+use hyssopdyke_wire::session::{Frame, Granted, Hello, Refused, Renew, frame, hello};
+use hyssopdyke_wire::{Codec, Error as WireError, Key};
+use slog::{debug, info};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use super::consensus::QUORUM;
+use super::handle::{Error as LogError, Handle, Leadership};
+use super::leases::Leases;
+use crate::log::Events;
+
+/// Time for a daemon's first frame, and for writing a frame.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Bytes of resources in one page.
+const PAGE_BYTES: usize = 256 << 10;
+
+/// Why a session ended.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    #[error("{0}")]
+    Wire(#[from] WireError),
+    #[error("{0}")]
+    Log(#[from] LogError),
+    #[error("no frame within {PATIENCE:?}")]
+    Silent,
+    #[error("the daemon closed the session")]
+    Closed,
+    #[error("the first frame is no announcement")]
+    NoHello,
+    #[error("this VM no longer leads")]
+    Deposed,
+    #[error("the daemon left")]
+    Left,
+}
+
+type Stream = Framed<TcpStream, Codec<Frame>>;
+
+/// Takes sessions of daemons.
+pub(super) async fn serve(
+    listener: TcpListener,
+    key: Key,
+    handle: Handle,
+    leases: Arc<Leases>,
+    events: Events,
+) -> std::io::Result<()> {
+    loop {
+        let (stream, from) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let stream = Framed::new(stream, Codec::new(key.clone()));
+        let (handle, leases, events) = (handle.clone(), Arc::clone(&leases), events.clone());
+        tokio::spawn(async move {
+            let end = hold(stream, handle, leases, &events).await.unwrap_or_else(|end| end);
+            debug!(events.logger(), "session ended"; "from" => %from, "reason" => %end);
+        });
+    }
+}
+
+/// A daemon that has announced itself.
+struct Daemon {
+    kind: Kind,
+    resource: Resource,
+    boot: u64,
+}
+
+impl Daemon {
+    fn new(hello: Hello) -> Option<Self> {
+        let (kind, boot, body, address) = match hello.role? {
+            hello::Role::Upstream(upstream) => {
+                let (boot, address) = (upstream.boot, upstream.address.clone());
+                (Kind::Upstream, boot, resource::Body::Upstream(upstream), address)
+            }
+            hello::Role::Entry(entry) => {
+                let (boot, address) = (entry.boot, entry.address.clone());
+                (Kind::Entry, boot, resource::Body::Entry(entry), address)
+            }
+        };
+        let is_sound = !hello.name.is_empty() && boot != 0 && address.parse::<SocketAddr>().is_ok();
+        let resource = Resource { name: hello.name, body: Some(body), ..Resource::default() };
+        is_sound.then_some(Self { kind, resource, boot })
+    }
+
+    /// Puts the daemon on record, unless it is there already.
+    async fn register(&self, handle: &Handle) -> Result<(), LogError> {
+        let is_registered = {
+            let registry = handle.registry().await;
+            let held = registry.store().get(self.kind, &self.resource.name);
+            match held.and_then(|held| held.body.as_ref()) {
+                Some(resource::Body::Upstream(upstream)) => upstream.boot == self.boot,
+                Some(resource::Body::Entry(entry)) => entry.boot == self.boot,
+                _ => false,
+            }
+        };
+        if !is_registered {
+            let register = Register { resource: Some(self.resource.clone()) };
+            handle.propose(command::Body::Register(register)).await?;
+        }
+        Ok(())
+    }
+}
+
+async fn hold(
+    mut stream: Stream,
+    handle: Handle,
+    leases: Arc<Leases>,
+    events: &Events,
+) -> Result<End, End> {
+    let first = timeout(PATIENCE, stream.next()).await.map_err(|_| End::Silent)?;
+    let frame = first.ok_or(End::Closed)??;
+    let Some(frame::Body::Hello(hello)) = frame.body else {
+        return Err(End::NoHello);
+    };
+    let mut cursor = hello.revision;
+    let daemon = Daemon::new(hello).ok_or(End::NoHello)?;
+    // A majority must be known before a daemon is told anything, or a leader that was cut off
+    // would send it an old state.
+    if let Err(error) = enter(&daemon, &handle).await {
+        refuse(&mut stream, &handle, &error).await?;
+        return Err(error.into());
+    }
+    info!(events.logger(), "daemon announced"; "daemon" => daemon.resource.name.as_str(),
+        "kind" => daemon.kind.as_str_name(), "boot" => daemon.boot);
+    let mut revisions = handle.revision.clone();
+    let mut leaderships = handle.leadership.clone();
+    revisions.mark_changed();
+    loop {
+        tokio::select! {
+            received = stream.next() => {
+                let frame = received.ok_or(End::Closed)??;
+                match frame.body {
+                    Some(frame::Body::Renew(renew)) => {
+                        grant(&mut stream, &daemon, &handle, &leases, renew).await?;
+                    }
+                    Some(frame::Body::Leave(_)) => {
+                        leave(&daemon, &handle).await?;
+                        return Err(End::Left);
+                    }
+                    _ => {}
+                }
+            }
+            changed = revisions.changed() => {
+                changed.map_err(|_| End::Deposed)?;
+                cursor = send_changes(&mut stream, &handle, cursor).await?;
+            }
+            () = deposed(&mut leaderships) => return Err(End::Deposed),
+        }
+    }
+}
+
+/// Waits until this VM no longer leads.
+async fn deposed(leaderships: &mut watch::Receiver<Leadership>) {
+    let _ = leaderships.wait_for(|leadership| leadership.since.is_none()).await;
+}
+
+async fn enter(daemon: &Daemon, handle: &Handle) -> Result<(), LogError> {
+    handle.confirm().await?;
+    daemon.register(handle).await
+}
+
+async fn grant(
+    stream: &mut Stream,
+    daemon: &Daemon,
+    handle: &Handle,
+    leases: &Leases,
+    renew: Renew,
+) -> Result<(), End> {
+    // A leader that a majority does not follow may have been replaced.
+    if !handle.leads_within(QUORUM) {
+        return Ok(());
+    }
+    daemon.register(handle).await?;
+    let key = (daemon.kind, daemon.resource.name.as_str().into());
+    leases.renew(key, daemon.boot, renew.revision, renew.usage.unwrap_or_default());
+    let lease_ms = leases.length().as_millis() as u32;
+    let granted = Granted { sequence: renew.sequence, lease_ms };
+    send(stream, frame::Body::Granted(granted)).await
+}
+
+async fn leave(daemon: &Daemon, handle: &Handle) -> Result<(), End> {
+    let unregister = Unregister {
+        kind: daemon.kind as i32,
+        name: daemon.resource.name.clone(),
+        boot: daemon.boot,
+    };
+    handle.propose(command::Body::Unregister(unregister)).await?;
+    Ok(())
+}
+
+/// Sends what has changed after `cursor`; returns the revision that was sent.
+async fn send_changes(stream: &mut Stream, handle: &Handle, cursor: u64) -> Result<u64, End> {
+    let mut page = handle.registry().await.store().since(cursor, PAGE_BYTES);
+    loop {
+        let (upto, complete) = (page.upto, page.complete);
+        send(stream, frame::Body::Page(page)).await?;
+        if complete {
+            return Ok(upto);
+        }
+        page = handle.registry().await.store().page(upto, PAGE_BYTES);
+    }
+}
+
+async fn refuse(stream: &mut Stream, handle: &Handle, error: &LogError) -> Result<(), End> {
+    let leader = handle.leadership.borrow().leader.clone().unwrap_or_default();
+    let refused = Refused { reason: error.to_string(), leader: leader.into() };
+    send(stream, frame::Body::Refused(refused)).await
+}
+
+async fn send(stream: &mut Stream, body: frame::Body) -> Result<(), End> {
+    let sending = stream.send(Frame { body: Some(body) });
+    timeout(PATIENCE, sending).await.map_err(|_| End::Silent)??;
+    Ok(())
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -0,0 +1,66 @@
+//! The entry: takes packets from the fabric and forwards each to an agent.
+//!
+//! An entry keeps nothing that matters if it is lost. A packet goes to the owner of its flow
+//! where the entry was told of it, and to the home of the flow otherwise.
+
+mod worker;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use hyssopdyke_wire::resource;
+use hyssopdyke_wire::session::hello;
+use hyssopdyke_wire::{Key, Purpose};
+use slog::info;
+use tokio::time::sleep;
+
+use crate::log::Events;
+use crate::metrics::Metrics;
+use crate::node::{Announcement, Link, Membership, Session, Tunnel};
+use crate::settings::{Entry, Settings};
+use crate::stop::Stop;
+use worker::Worker;
+
+/// Time in which the fabric's last packets are forwarded after the lease was given back.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Runs an entry until it is asked to stop.
+pub(crate) async fn run(settings: Settings<Entry>, events: Events, mut stop: Stop) -> Result<()> {
+    let Settings { common, role } = settings;
+    let key = Key::derive(&common.cluster.passphrase, Purpose::Datagram);
+    let fabric = SocketAddr::new(common.vm.address, role.fabric_port);
+    let fabric = Tunnel::bind(fabric).wrap_err_with(|| format!("[entry] fabric_port: {fabric}"))?;
+    let peers = SocketAddr::new(common.vm.address, role.peer_port);
+    let link = Link::bind(peers, key).wrap_err_with(|| format!("[entry] peer_port: {peers}"))?;
+    let boot = rand::random();
+    let announcement = Announcement {
+        name: common.vm.name.clone(),
+        role: hello::Role::Entry(resource::Entry {
+            domain: common.vm.domain.to_string(),
+            address: link.local_addr()?.to_string(),
+            boot,
+            incarnation: 0,
+        }),
+    };
+    info!(events.logger(), "entry started";
+        "fabric" => %fabric.local_addr()?, "peers" => %link.local_addr()?);
+    let session = Session::spawn(&common.cluster, announcement, events.logger().clone());
+    let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
+    let metrics = Metrics::open("entry", &common)?;
+    let mut worker =
+        Worker::new(fabric, link, membership, metrics, role.cached_flows, events.clone())?;
+    let mut session = session;
+    tokio::select! {
+        result = worker.run(&mut session) => return result,
+        () = stop.asked() => {}
+    }
+    info!(events.logger(), "entry leaves");
+    session.leave().await;
+    tokio::select! {
+        result = worker.finish() => return result,
+        () = sleep(GRACE) => {}
+    }
+    info!(events.logger(), "entry stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/log.rs
@@ -0,0 +1,92 @@
+//! The events of a process, as lines for people or as JSON.
+//!
+//! Each event carries the process's role, VM and failure domain, the revision that it acts by,
+//! and both a wall-clock and a monotonic time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Instant, SystemTime};
+
+use slog::{Drain, FnValue, Level, Logger, o};
+
+use crate::settings::{Common, Form};
+
+/// Events that may wait for the writer.
+const QUEUE: usize = 65_536;
+
+/// A handle for writing events.
+#[derive(Clone)]
+pub(crate) struct Events {
+    logger: Logger,
+    revision: Arc<AtomicU64>,
+}
+
+impl Events {
+    /// Opens the log of a process on standard error.
+    pub(crate) fn open(role: &'static str, common: &Common) -> Self {
+        let (level, form) = (common.log.level, common.log.form);
+        let revision = Arc::new(AtomicU64::new(0));
+        let shown = Arc::clone(&revision);
+        let logger = Logger::root(
+            drain(level, form),
+            o!(
+                "process" => role,
+                "vm" => common.vm.name.to_string(),
+                "domain" => common.vm.domain.to_string(),
+                "pid" => std::process::id(),
+                "revision" => FnValue(move |_| shown.load(Ordering::Relaxed)),
+            ),
+        );
+        Self { logger, revision }
+    }
+
+    /// The logger, for slog's macros.
+    pub(crate) const fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Sets the revision that events carry from now on.
+    pub(crate) fn set_revision(&self, revision: u64) {
+        self.revision.store(revision, Ordering::Relaxed);
+    }
+}
+
+fn drain(level: Level, form: Form) -> slog::Fuse<slog_async::Async> {
+    match form {
+        Form::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            queue(slog_term::FullFormat::new(decorator).build().fuse(), level)
+        }
+        Form::Json => queue(json(), level),
+    }
+}
+
+fn json() -> impl Drain<Ok = (), Err = slog::Never> + Send + 'static {
+    let start = Instant::now();
+    let values = o!(
+        "wall_us" => FnValue(|_| wall_micros()),
+        "mono_us" => FnValue(move |_| start.elapsed().as_micros() as u64),
+        "level" => FnValue(|record| record.level().as_str()),
+        "event" => FnValue(|record| record.msg().to_string()),
+    );
+    let json = slog_json::Json::new(std::io::stderr()).add_key_value(values).build();
+    std::sync::Mutex::new(json).fuse()
+}
+
+fn wall_micros() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_micros() as u64)
+}
+
+fn queue<D>(drain: D, level: Level) -> slog::Fuse<slog_async::Async>
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let filtered = drain.filter_level(level).fuse();
+    // The writer reports how many events it had to drop.
+    slog_async::Async::new(filtered)
+        .chan_size(QUEUE)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse()
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/main.rs
@@ -0,0 +1,17 @@
+//! The daemons of hyssopdyke: entry, agent and control.
+
+mod agent;
+mod command;
+mod control;
+mod entry;
+mod log;
+mod metrics;
+mod node;
+mod settings;
+mod stop;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command::run()
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -0,0 +1,162 @@
+//! A daemon's place in the system: the revision that it acts by, and its right to act.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyssopdyke::process::Lease;
+use hyssopdyke::version::{Replica, View};
+use hyssopdyke_wire::datagram::{Datagram, Load, Ping, Pong, Pull, datagram::Body};
+use hyssopdyke_wire::resource::Page;
+use slog::{debug, info};
+
+use super::{Link, Update};
+use crate::log::Events;
+
+/// Length of a lease until control names another.
+const LEASE: Duration = Duration::from_secs(3);
+
+/// Least time between two pulls.
+const PULL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Peers that are asked at a time while control does not answer.
+const VOUCHING_PEERS: usize = 3;
+
+/// Bytes of resources in a page that fits a datagram.
+const PAGE_BYTES: usize = 1000;
+
+/// The state of one daemon's membership.
+pub(crate) struct Membership {
+    boot: u64,
+    domain: Box<str>,
+    replica: Replica,
+    view: Arc<View>,
+    lease: Lease,
+    pulled: Option<Instant>,
+    nonce: u64,
+    events: Events,
+}
+
+impl Membership {
+    /// A daemon that knows nothing yet.
+    pub(crate) fn new(boot: u64, domain: Box<str>, events: Events) -> Self {
+        Self {
+            boot,
+            domain,
+            replica: Replica::new(),
+            view: Arc::new(View::default()),
+            lease: Lease::new(LEASE),
+            pulled: None,
+            nonce: rand::random(),
+            events,
+        }
+    }
+
+    /// Routes of the current revision.
+    pub(crate) const fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Current revision.
+    pub(crate) fn revision(&self) -> u64 {
+        self.view.revision()
+    }
+
+    /// Whether the daemon may deliver packets at `now`.
+    pub(crate) fn may_act(&self, now: Instant) -> bool {
+        self.lease.is_valid(now) && self.view.is_registered(self.boot)
+    }
+
+    /// Takes in an update of control; true if the view has changed.
+    pub(crate) fn update(&mut self, update: Update) -> bool {
+        match update {
+            Update::Granted { sent, length } => {
+                self.lease.grant(sent, length);
+                false
+            }
+            Update::Page(page) => self.apply(page),
+        }
+    }
+
+    /// Pulls from a peer whose message shows a newer revision.
+    pub(crate) fn follow(&mut self, link: &mut Link, from: SocketAddr, revision: u64) {
+        let now = Instant::now();
+        let is_due = self.pulled.is_none_or(|last| now.duration_since(last) >= PULL_INTERVAL);
+        if revision <= self.replica.cursor() || !is_due {
+            return;
+        }
+        self.pulled = Some(now);
+        self.pull(link, from);
+    }
+
+    /// Answers a peer's pull.
+    pub(crate) fn serve(&self, link: &mut Link, from: SocketAddr, pull: Pull) {
+        let page = self.replica.store().since(pull.after, PAGE_BYTES);
+        link.send(&self.message(Body::Page(page)), from);
+    }
+
+    /// Takes in a page of a peer; true if the view has changed.
+    pub(crate) fn receive(&mut self, link: &mut Link, from: SocketAddr, page: Page) -> bool {
+        let is_last = page.complete;
+        let changed = self.apply(page);
+        if !is_last {
+            self.pull(link, from);
+        }
+        changed
+    }
+
+    /// Asks peers to vouch for this process while control does not renew its lease.
+    pub(crate) fn ask_peers(&mut self, link: &mut Link, now: Instant) {
+        let peers = self.view.peers_outside(&self.domain);
+        if peers.is_empty() {
+            return;
+        }
+        for index in 0..VOUCHING_PEERS.min(peers.len()) {
+            let peer = peers[(self.nonce as usize).wrapping_add(index) % peers.len()];
+            let ping = self.ping(None, now);
+            link.send(&self.message(Body::Ping(ping)), peer);
+        }
+    }
+
+    /// A question that a peer answers with its number.
+    pub(crate) fn ping(&mut self, load: Option<Load>, now: Instant) -> Ping {
+        self.nonce = self.nonce.wrapping_add(1);
+        self.lease.ask(self.nonce, now);
+        Ping { nonce: self.nonce, load }
+    }
+
+    /// Takes in a peer's answer to a ping, sent at `revision`.
+    pub(crate) fn vouch(&mut self, from: SocketAddr, revision: u64, pong: Pong) {
+        let is_outside = self.view.domain_of(from).is_some_and(|domain| *domain != *self.domain);
+        // A peer that is ahead may know that this domain was taken out.
+        if is_outside && revision <= self.revision() {
+            self.lease.answer(pong.nonce);
+        }
+    }
+
+    /// A message at the current revision.
+    pub(crate) fn message(&self, body: Body) -> Datagram {
+        Datagram { revision: self.revision(), body: Some(body) }
+    }
+
+    fn pull(&self, link: &mut Link, from: SocketAddr) {
+        let pull = Pull { after: self.replica.cursor() };
+        link.send(&self.message(Body::Pull(pull)), from);
+    }
+
+    fn apply(&mut self, page: Page) -> bool {
+        match self.replica.apply(page) {
+            Ok(true) => {
+                self.view = Arc::new(View::new(self.replica.store()));
+                self.events.set_revision(self.revision());
+                info!(self.events.logger(), "revision in use");
+                true
+            }
+            Ok(false) => false,
+            Err(gap) => {
+                debug!(self.events.logger(), "page refused"; "reason" => %gap);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -0,0 +1,258 @@
+//! A daemon's session with control.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::{SinkExt, StreamExt};
+use hyssopdyke_wire::resource::{Page, Usage};
+use hyssopdyke_wire::session::{Frame, Hello, Leave, Renew, frame, hello};
+use hyssopdyke_wire::{Codec, Error, Key, Purpose};
+use slog::{Logger, info, warn};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{interval, sleep, timeout};
+use tokio_util::codec::Framed;
+
+use crate::settings::Cluster;
+
+/// Time between two renewals.
+const RENEWAL: Duration = Duration::from_secs(1);
+
+/// Time for connecting, and for the answer to a renewal.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Pause before the next control VM is tried.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Updates that may wait for the daemon.
+const QUEUE: usize = 256;
+
+/// What control tells a daemon.
+#[derive(Debug)]
+pub(crate) enum Update {
+    /// The renewal that was sent at `sent` was granted.
+    Granted { sent: Instant, length: Duration },
+    /// A part of the state.
+    Page(Page),
+}
+
+/// What a daemon tells control with every renewal.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Report {
+    pub(crate) revision: u64,
+    pub(crate) usage: Usage,
+}
+
+/// The daemon's name and role, and what it announces.
+#[derive(Debug, Clone)]
+pub(crate) struct Announcement {
+    pub(crate) name: Box<str>,
+    pub(crate) role: hello::Role,
+}
+
+/// A running session, which connects anew whenever it is lost.
+pub(crate) struct Session {
+    updates: mpsc::Receiver<Update>,
+    report: watch::Sender<Report>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Session {
+    /// Starts a session.
+    pub(crate) fn spawn(cluster: &Cluster, announcement: Announcement, log: Logger) -> Self {
+        let (sender, updates) = mpsc::channel(QUEUE);
+        let (report, reports) = watch::channel(Report::default());
+        let (stop, stopped) = watch::channel(false);
+        let client = Client {
+            key: Key::derive(&cluster.passphrase, Purpose::Session),
+            control: cluster.control.clone(),
+            announcement,
+            updates: sender,
+            reports,
+            stopped,
+            log,
+        };
+        Self { updates, report, stop, task: tokio::spawn(client.run()) }
+    }
+
+    /// Waits for the next update.
+    pub(crate) async fn update(&mut self) -> Option<Update> {
+        self.updates.recv().await
+    }
+
+    /// Sets what control is told; a new revision is told at once.
+    pub(crate) fn report(&self, revision: u64, usage: Usage) {
+        self.report.send_if_modified(|report| {
+            let is_new = report.revision != revision;
+            *report = Report { revision, usage };
+            is_new
+        });
+    }
+
+    /// Gives the lease back and ends the session.
+    pub(crate) async fn leave(mut self) {
+        self.stop.send_replace(true);
+        self.updates.close();
+        let _ = timeout(PATIENCE, self.task).await;
+    }
+}
+
+struct Client {
+    key: Key,
+    control: Vec<SocketAddr>,
+    announcement: Announcement,
+    updates: mpsc::Sender<Update>,
+    reports: watch::Receiver<Report>,
+    stopped: watch::Receiver<bool>,
+    log: Logger,
+}
+
+/// Why a session ended.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    #[error("no connection within {PATIENCE:?}")]
+    Unreachable,
+    #[error("connecting: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("{0}")]
+    Wire(#[from] Error),
+    #[error("control closed the session")]
+    Closed,
+    #[error("no answer within {PATIENCE:?}")]
+    Silent,
+    #[error("control refused: {0}")]
+    Refused(Box<str>),
+    #[error("the daemon stops")]
+    Stopped,
+}
+
+impl Client {
+    async fn run(mut self) {
+        let mut index = 0;
+        loop {
+            let Some(address) = self.control.get(index % self.control.len().max(1)).copied() else {
+                return;
+            };
+            match self.hold(address).await {
+                End::Stopped => return,
+                end @ (End::Unreachable | End::Connect(_) | End::Refused(_)) => {
+                    slog::debug!(self.log, "no session with control";
+                        "control" => %address, "reason" => %end);
+                }
+                end => {
+                    warn!(self.log, "session with control lost";
+                        "control" => %address, "reason" => %end);
+                }
+            }
+            index += 1;
+            tokio::select! {
+                () = sleep(RETRY) => {}
+                () = is_set(&mut self.stopped) => return,
+            }
+        }
+    }
+
+    /// Holds a session with one control VM until it ends.
+    async fn hold(&mut self, address: SocketAddr) -> End {
+        match self.connect(address).await {
+            Ok(mut stream) => self.exchange(&mut stream, address).await.unwrap_or_else(|end| end),
+            Err(end) => end,
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Framed<TcpStream, Codec<Frame>>, End> {
+        let connecting = timeout(PATIENCE, TcpStream::connect(address));
+        let stream = connecting.await.map_err(|_| End::Unreachable)??;
+        stream.set_nodelay(true)?;
+        let mut stream = Framed::new(stream, Codec::new(self.key.clone()));
+        let hello = Hello {
+            name: self.announcement.name.to_string(),
+            revision: self.reports.borrow().revision,
+            role: Some(self.announcement.role.clone()),
+        };
+        stream.send(Frame { body: Some(frame::Body::Hello(hello)) }).await?;
+        Ok(stream)
+    }
+
+    async fn exchange(
+        &self,
+        stream: &mut Framed<TcpStream, Codec<Frame>>,
+        address: SocketAddr,
+    ) -> Result<End, End> {
+        let mut renewals = interval(RENEWAL);
+        let mut reports = self.reports.clone();
+        let mut stopped = self.stopped.clone();
+        let mut renewal = 0;
+        let mut open: VecDeque<(u64, Instant)> = VecDeque::new();
+        loop {
+            tokio::select! {
+                _ = renewals.tick() => {
+                    if open.front().is_some_and(|(_, sent)| sent.elapsed() > PATIENCE) {
+                        return Err(End::Silent);
+                    }
+                    renewal += 1;
+                    open.push_back((renewal, Instant::now()));
+                    let report = *reports.borrow_and_update();
+                    renew(stream, renewal, report).await?;
+                }
+                changed = reports.changed() => {
+                    changed.map_err(|_| End::Stopped)?;
+                    renewal += 1;
+                    open.push_back((renewal, Instant::now()));
+                    let report = *reports.borrow_and_update();
+                    renew(stream, renewal, report).await?;
+                }
+                received = stream.next() => {
+                    let frame = received.ok_or(End::Closed)??;
+                    match frame.body {
+                        Some(frame::Body::Granted(granted)) => {
+                            if granted.sequence == 1 {
+                                info!(self.log, "lease granted"; "control" => %address);
+                            }
+                            let length = Duration::from_millis(granted.lease_ms.into());
+                            while let Some((number, sent)) = open.pop_front() {
+                                if number >= granted.sequence {
+                                    self.update(Update::Granted { sent, length }).await?;
+                                    break;
+                                }
+                            }
+                        }
+                        Some(frame::Body::Page(page)) => self.update(Update::Page(page)).await?,
+                        Some(frame::Body::Refused(refused)) => {
+                            return Err(End::Refused(refused.reason.into()));
+                        }
+                        _ => {}
+                    }
+                }
+                () = is_set(&mut stopped) => {
+                    let leave = Frame { body: Some(frame::Body::Leave(Leave {})) };
+                    stream.send(leave).await?;
+                    stream.close().await?;
+                    return Err(End::Stopped);
+                }
+            }
+        }
+    }
+
+    async fn update(&self, update: Update) -> Result<(), End> {
+        self.updates.send(update).await.map_err(|_| End::Stopped)
+    }
+}
+
+async fn renew(
+    stream: &mut Framed<TcpStream, Codec<Frame>>,
+    sequence: u64,
+    report: Report,
+) -> Result<(), End> {
+    let Report { revision, usage } = report;
+    let renew = Renew { sequence, revision, usage: Some(usage) };
+    Ok(stream.send(Frame { body: Some(frame::Body::Renew(renew)) }).await?)
+}
+
+/// Waits until the flag is set, or its sender is gone.
+async fn is_set(flag: &mut watch::Receiver<bool>) {
+    let _ = flag.wait_for(|set| *set).await;
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/settings/cluster.rs
@@ -0,0 +1,47 @@
+//! What all processes of one system share.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use super::fault::Cause;
+use super::{Control, Role, Section};
+
+/// Characters of the shortest passphrase.
+const PASSPHRASE_LENGTH: usize = 16;
+
+/// The shared passphrase and the control VMs.
+#[derive(Clone)]
+pub(crate) struct Cluster {
+    pub(crate) passphrase: Box<str>,
+    pub(crate) control: Vec<SocketAddr>,
+}
+
+impl Cluster {
+    pub(super) fn read(section: &mut Section<'_>, role: &str) -> Option<Self> {
+        let passphrase = section.text("passphrase");
+        let control = section.list("control", "a list of socket addresses");
+        if role != Control::SECTION && control.as_ref().is_some_and(Vec::is_empty) {
+            section.fault("control", Cause::Missing);
+        }
+        if passphrase.as_ref().is_some_and(|text| text.len() < PASSPHRASE_LENGTH) {
+            let expected = "a passphrase of at least 16 characters";
+            section.fault("passphrase", Cause::Form { value: "(hidden)".into(), expected });
+        }
+        Some(Self { passphrase: passphrase?, control: control? })
+    }
+}
+
+impl fmt::Display for Cluster {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let control: Vec<_> = self.control.iter().map(SocketAddr::to_string).collect();
+        writeln!(formatter, "[cluster]")?;
+        writeln!(formatter, "passphrase = (hidden)")?;
+        writeln!(formatter, "control = {}", control.join(", "))
+    }
+}
+
+impl fmt::Debug for Cluster {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Cluster").field("control", &self.control).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/settings/control.rs
@@ -0,0 +1,102 @@
+//! Settings of a control VM.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use super::fault::Cause;
+use super::{Role, Section, Vm};
+
+/// Folder, ports and times of a control VM.
+#[derive(Debug, Clone)]
+pub(crate) struct Control {
+    /// Folder of the log and the snapshots.
+    pub(crate) data: Box<Path>,
+    /// Takes sessions of daemons.
+    pub(crate) session_port: u16,
+    /// Takes operators' HTTP requests.
+    pub(crate) api_port: u16,
+    /// Takes messages of other control VMs.
+    pub(crate) replica_port: u16,
+    /// Other control VMs that vote when the system is first started, as `name@address:port`.
+    pub(crate) voters: Vec<Voter>,
+    /// Length of a daemon's lease.
+    pub(crate) lease: Duration,
+    /// Forms a new system with `voters` if the data folder is empty. Set by the command line.
+    pub(crate) form: bool,
+}
+
+/// A control VM by name, with the address of its replica port.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Voter {
+    pub(crate) name: Box<str>,
+    pub(crate) address: SocketAddr,
+}
+
+impl std::str::FromStr for Voter {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let (name, address) = text.split_once('@').ok_or(())?;
+        Ok(Self { name: name.into(), address: address.parse().map_err(|_| ())? })
+    }
+}
+
+impl Role for Control {
+    const SECTION: &'static str = "control";
+
+    fn read(section: &mut Section<'_>, _: Option<&Vm>) -> Option<Self> {
+        let data: Option<PathBuf> = section.value("data", "a path");
+        let session_port = section.number("session_port", 5560, (0, u16::MAX));
+        let api_port = section.number("api_port", 5561, (0, u16::MAX));
+        let replica_port = section.number("replica_port", 5562, (0, u16::MAX));
+        let voters = section.list("voters", "a list of name@address:port");
+        let lease = section.time(
+            "lease",
+            Duration::from_secs(3),
+            (Duration::from_millis(500), Duration::from_mins(1)),
+        );
+        let control = Self {
+            data: data?.into(),
+            session_port: session_port?,
+            api_port: api_port?,
+            replica_port: replica_port?,
+            voters: voters?,
+            lease: lease?,
+            form: false,
+        };
+        control.check_clashes(section);
+        Some(control)
+    }
+}
+
+impl Control {
+    fn check_clashes(&self, section: &mut Section<'_>) {
+        let ports = [
+            ("session_port", self.session_port),
+            ("api_port", self.api_port),
+            ("replica_port", self.replica_port),
+        ];
+        for (index, (key, port)) in ports.iter().enumerate() {
+            let earlier = ports[..index].iter().find(|(_, other)| other == port && *port != 0);
+            if let Some((other, _)) = earlier {
+                section.fault(key, Cause::Clash { value: port.to_string().into(), other });
+            }
+        }
+    }
+}
+
+impl fmt::Display for Control {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "[control]")?;
+        writeln!(formatter, "data = {}", self.data.display())?;
+        writeln!(formatter, "session_port = {}", self.session_port)?;
+        writeln!(formatter, "api_port = {}", self.api_port)?;
+        writeln!(formatter, "replica_port = {}", self.replica_port)?;
+        let voters: Vec<_> =
+            self.voters.iter().map(|voter| format!("{}@{}", voter.name, voter.address)).collect();
+        writeln!(formatter, "voters = {}", voters.join(", "))?;
+        writeln!(formatter, "lease = {}", humantime::format_duration(self.lease))
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/settings/log.rs
@@ -0,0 +1,72 @@
+//! Where events and metrics go.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use super::Section;
+
+/// Form of the events on standard error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Form {
+    /// For people.
+    Terminal,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for Form {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "terminal" => Ok(Self::Terminal),
+            "json" => Ok(Self::Json),
+            _ => Err(()),
+        }
+    }
+}
+
+impl fmt::Display for Form {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Terminal => "terminal",
+            Self::Json => "json",
+        })
+    }
+}
+
+/// Level and form of events, and the statsd server of the metrics.
+#[derive(Debug, Clone)]
+pub(crate) struct Log {
+    pub(crate) level: slog::Level,
+    pub(crate) form: Form,
+    pub(crate) statsd: Option<SocketAddr>,
+}
+
+impl Log {
+    pub(super) fn read(section: &mut Section<'_>) -> Option<Self> {
+        let level = match section.optional_text("level") {
+            Some(_) => section.value("level", "one of error, warning, info, debug, trace"),
+            None => Some(slog::Level::Info),
+        };
+        let form = match section.optional_text("form") {
+            Some(_) => section.value("form", "one of terminal, json"),
+            None => Some(Form::Terminal),
+        };
+        let statsd = section.list("statsd", "a socket address")?.pop();
+        Some(Self { level: level?, form: form?, statsd })
+    }
+}
+
+impl fmt::Display for Log {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "[log]")?;
+        writeln!(formatter, "level = {}", self.level.as_str().to_lowercase())?;
+        writeln!(formatter, "form = {}", self.form)?;
+        if let Some(statsd) = self.statsd {
+            writeln!(formatter, "statsd = {statsd}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyked/src/settings/mod.rs
@@ -0,0 +1,76 @@
+//! Settings of a daemon, read from an INI file and checked as a whole.
+//!
+//! Every fault in the file is found in one run and names its section and key.
+
+mod agent;
+mod cluster;
+mod control;
+mod entry;
+mod fault;
+mod file;
+mod log;
+mod vm;
+
+pub(crate) use agent::Agent;
+pub(crate) use cluster::Cluster;
+pub(crate) use control::Control;
+pub(crate) use entry::Entry;
+pub(crate) use fault::Error;
+pub(crate) use file::{File, Section};
+pub(crate) use log::{Form, Log};
+pub(crate) use vm::Vm;
+
+use std::path::Path;
+
+/// Settings that every role has.
+#[derive(Debug, Clone)]
+pub(crate) struct Common {
+    pub(crate) vm: Vm,
+    pub(crate) cluster: Cluster,
+    pub(crate) log: Log,
+}
+
+/// Settings of one role with those that every role has.
+#[derive(Debug, Clone)]
+pub(crate) struct Settings<R> {
+    pub(crate) common: Common,
+    pub(crate) role: R,
+}
+
+/// A section that holds the settings of one role.
+pub(crate) trait Role: Sized + std::fmt::Display {
+    /// Name of the section.
+    const SECTION: &'static str;
+
+    /// Reads the section; `None` after a fault that was noted in `section`.
+    fn read(section: &mut Section<'_>, vm: Option<&Vm>) -> Option<Self>;
+}
+
+impl<R: Role> Settings<R> {
+    /// Reads and checks a file.
+    pub(crate) fn open(path: &Path) -> Result<Self, Error> {
+        let mut file = File::open(path)?;
+        let vm = file.section("vm", Vm::read);
+        let cluster = file.section("cluster", |section| Cluster::read(section, R::SECTION));
+        let log = file.section("log", Log::read);
+        let role = file.section(R::SECTION, |section| R::read(section, vm.as_ref()));
+        file.finish()?;
+        match (vm, cluster, log, role) {
+            (Some(vm), Some(cluster), Some(log), Some(role)) => {
+                Ok(Self { common: Common { vm, cluster, log }, role })
+            }
+            _ => Err(Error::Incomplete(path.into())),
+        }
+    }
+}
+
+impl<R: Role> std::fmt::Display for Settings<R> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Common { vm, cluster, log } = &self.common;
+        write!(formatter, "{vm}\n{cluster}\n{log}\n{}", self.role)
+    }
+}
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/hyssopdyked/src/settings/tests.rs
@@ -0,0 +1,144 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use super::{Agent, Control, Entry, Error, Role, Settings};
+
+const COMMON: &str = "[vm]\nname = a-1\ndomain = fj-west-a\naddress = 127.9.9.9\n\
+                      [cluster]\npassphrase = sixteen letters!\ncontrol = 127.9.9.1:5560\n";
+
+const AGENT: &str = "[agent]\nservice = dispatch\nupstream = 127.9.9.9:6000\n\
+                     fabric = 127.9.9.250:7000\n";
+
+/// A settings file that is removed when the value goes.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("{}-{name}.ini", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Faults of a file, as they are printed after its path.
+fn faults<R: Role>(name: &str, text: &str) -> Vec<String> {
+    let file = File::new(name, text);
+    match Settings::<R>::open(&file.0) {
+        Ok(_) => Vec::new(),
+        Err(error @ Error::Faults { .. }) => {
+            let prefix = format!("{}: ", file.0.display());
+            let shown = error.to_string();
+            shown.lines().map(|line| line.strip_prefix(&prefix).unwrap().to_owned()).collect()
+        }
+        Err(other) => panic!("{other}"),
+    }
+}
+
+#[test]
+fn open_sound() {
+    let file = File::new("sound", &format!("{COMMON}{AGENT}probe_after = 90s\n"));
+    let settings = Settings::<Agent>::open(&file.0).unwrap();
+    assert_eq!(&*settings.common.vm.name, "a-1");
+    assert_eq!(settings.common.cluster.control, ["127.9.9.1:5560".parse::<SocketAddr>().unwrap()]);
+    assert_eq!(settings.role.probe_after, Duration::from_secs(90));
+    assert_eq!(settings.role.peer_port, 5556);
+}
+
+#[test]
+fn open_faults() {
+    let cases: [(&str, String, &[&str]); 10] = [
+        (
+            "missing",
+            AGENT.into(),
+            &[
+                "[vm] name: missing",
+                "[vm] domain: missing",
+                "[vm] address: missing",
+                "[cluster] passphrase: missing",
+                "[cluster] control: missing",
+            ],
+        ),
+        ("unknown-key", format!("{COMMON}{AGENT}colour = red\n"), &["[agent] colour: unknown key"]),
+        (
+            "unknown-section",
+            format!("{COMMON}{AGENT}[extra]\na = 1\n"),
+            &["[extra]: unknown section"],
+        ),
+        (
+            "duplicate-key",
+            format!("{COMMON}{AGENT}service = b\n"),
+            &["[agent] service: key stands twice"],
+        ),
+        (
+            "duplicate-section",
+            format!("{COMMON}{AGENT}{AGENT}"),
+            &["[agent]: section stands twice"],
+        ),
+        (
+            "range",
+            format!("{COMMON}{AGENT}probe_after = 2h\n"),
+            &["[agent] probe_after: 2h is not between 1s and 1h"],
+        ),
+        (
+            "unit",
+            format!("{COMMON}{AGENT}probe_after = 90\n"),
+            &["[agent] probe_after: \"90\" is not a time with its unit, such as 500ms or 3s"],
+        ),
+        (
+            "port",
+            format!("{COMMON}{AGENT}peer_port = 70000\n"),
+            &["[agent] peer_port: \"70000\" is not a whole number"],
+        ),
+        (
+            "clash",
+            format!("{COMMON}{AGENT}answer_port = 5556\n"),
+            &["[agent] answer_port: 5556 is also used by peer_port"],
+        ),
+        (
+            "own-port",
+            format!("{COMMON}{AGENT}answer_port = 6000\n"),
+            &["[agent] upstream: 127.9.9.9:6000 is also used by answer_port"],
+        ),
+    ];
+    for (name, text, expected) in cases {
+        assert_eq!(faults::<Agent>(name, &text), expected, "{name}");
+    }
+}
+
+#[test]
+fn open_rolefaults() {
+    let entry = format!("{COMMON}[entry]\nfabric_port = 5556\ncached_flows = 5\n");
+    assert_eq!(
+        faults::<Entry>("entry", &entry),
+        [
+            "[entry] cached_flows: 5 is not between 1000 and 10000000",
+            "[entry] peer_port: 5556 is also used by fabric_port",
+        ]
+    );
+    let control = format!("{COMMON}[control]\ndata = d\napi_port = 5560\nvoters = x\n");
+    assert_eq!(
+        faults::<Control>("control", &control),
+        ["[control] voters: \"x\" is not a list of name@address:port",]
+    );
+}
+
+#[test]
+fn open_syntax() {
+    let file = File::new("syntax", "[vm\n");
+    assert!(matches!(Settings::<Entry>::open(&file.0), Err(Error::Syntax { line: 1 | 2, .. })));
+}
+
+#[test]
+fn display_hides_passphrase() {
+    let file = File::new("display", &format!("{COMMON}{AGENT}"));
+    let shown = Settings::<Agent>::open(&file.0).unwrap().to_string();
+    assert!(!shown.contains("sixteen letters!"));
+    assert!(shown.contains("passphrase = (hidden)"));
+}
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,357 @@
+//! Callers: many requests and streams from one address, each judged by its outcome.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use smoltcp::iface::SocketHandle;
+use smoltcp::socket::tcp;
+
+use crate::stack::Stack;
+use crate::upstream::body;
+
+/// Longest wait for packets.
+const WAIT: Duration = Duration::from_millis(1);
+
+/// Bytes of a socket's buffer.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// First port of a caller.
+const FIRST_PORT: u16 = 10_000;
+
+/// What a caller does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Asks for bytes and expects all of them.
+    Request {
+        /// Bytes of the answer.
+        bytes: u64,
+    },
+    /// Takes lines until it has taken them for a time.
+    Stream {
+        /// Time between two lines.
+        interval: Duration,
+        /// Time after which the caller closes.
+        length: Duration,
+    },
+}
+
+/// One flow of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spec {
+    /// Identity of the flow, unique in a run.
+    pub id: u64,
+    /// Address and port of the service.
+    pub service: (Ipv4Addr, u16),
+    /// What the caller does.
+    pub kind: Kind,
+    /// Time after which the caller gives up.
+    pub deadline: Duration,
+}
+
+/// How a flow ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole and right answer, or every line for the whole time.
+    Whole {
+        /// Upstream that answered; empty for a stream.
+        upstream: Box<str>,
+        /// Time from the first packet to the end.
+        time: Duration,
+    },
+    /// The connection was refused.
+    Refused,
+    /// An established connection was reset or closed before its end.
+    Broken,
+    /// The answer was not the caller's own.
+    Wrong,
+    /// The deadline passed before the connection was established.
+    Unconnected,
+    /// The deadline passed on an established connection.
+    Unanswered,
+}
+
+/// Counts of outcomes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Whole answers.
+    pub whole: usize,
+    /// Refused connections.
+    pub refused: usize,
+    /// Broken connections.
+    pub broken: usize,
+    /// Wrong answers.
+    pub wrong: usize,
+    /// Connections that were not established in time.
+    pub unconnected: usize,
+    /// Connections that were established and not answered in time.
+    pub unanswered: usize,
+}
+
+impl Tally {
+    /// Counts outcomes.
+    pub fn new<'a>(outcomes: impl IntoIterator<Item = &'a Outcome>) -> Self {
+        let mut tally = Self::default();
+        for outcome in outcomes {
+            *match outcome {
+                Outcome::Whole { .. } => &mut tally.whole,
+                Outcome::Refused => &mut tally.refused,
+                Outcome::Broken => &mut tally.broken,
+                Outcome::Wrong => &mut tally.wrong,
+                Outcome::Unconnected => &mut tally.unconnected,
+                Outcome::Unanswered => &mut tally.unanswered,
+            } += 1;
+        }
+        tally
+    }
+
+    /// Count of all outcomes.
+    #[must_use]
+    pub const fn total(&self) -> usize {
+        let connected = self.whole + self.broken + self.wrong + self.unanswered;
+        connected + self.refused + self.unconnected
+    }
+}
+
+#[derive(Default)]
+struct Shared {
+    outcomes: Mutex<BTreeMap<u64, Outcome>>,
+    established: Mutex<HashMap<u64, u16>>,
+    stop: AtomicBool,
+}
+
+/// Running callers.
+pub struct Callers {
+    shared: Arc<Shared>,
+    specs: mpsc::Sender<Spec>,
+    started: u64,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts callers with one inner address, who send to a fabric from an outer address.
+    ///
+    /// # Errors
+    ///
+    /// If the socket cannot be bound.
+    pub fn spawn(
+        inner: Ipv4Addr,
+        outer: Ipv4Addr,
+        fabric: SocketAddr,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let tunnel = UdpSocket::bind((outer, 0))?;
+        let (specs, receiver) = mpsc::channel();
+        let shared = Arc::new(Shared::default());
+        let crowd = Crowd {
+            stack: Stack::new(inner, tunnel, seed)?,
+            fabric,
+            specs: receiver,
+            flows: HashMap::new(),
+            next_port: FIRST_PORT,
+            shared: Arc::clone(&shared),
+        };
+        let thread = std::thread::spawn(move || crowd.run());
+        Ok(Self { shared, specs, started: 0, thread: Some(thread) })
+    }
+
+    /// Starts a flow.
+    pub fn start(&mut self, spec: Spec) {
+        self.started += 1;
+        let _ = self.specs.send(spec);
+    }
+
+    /// Ids and local ports of the flows that are established now.
+    #[must_use]
+    pub fn established(&self) -> HashMap<u64, u16> {
+        self.shared.established.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Outcomes so far, by id.
+    #[must_use]
+    pub fn outcomes(&self) -> BTreeMap<u64, Outcome> {
+        self.shared.outcomes.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Counts of the outcomes so far.
+    #[must_use]
+    pub fn tally(&self) -> Tally {
+        Tally::new(self.outcomes().values())
+    }
+
+    /// Waits until each started flow has an outcome; false if that takes longer than `patience`.
+    #[must_use]
+    pub fn finish(&self, patience: Duration) -> bool {
+        let start = Instant::now();
+        while (self.outcomes().len() as u64) < self.started {
+            if start.elapsed() > patience {
+                return false;
+            }
+            std::thread::sleep(WAIT * 5);
+        }
+        true
+    }
+}
+
+impl Drop for Callers {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Open {
+    spec: Spec,
+    port: u16,
+    start: Instant,
+    established: Option<Instant>,
+    received: Vec<u8>,
+    lines: u64,
+}
+
+struct Crowd {
+    stack: Stack,
+    fabric: SocketAddr,
+    specs: mpsc::Receiver<Spec>,
+    flows: HashMap<SocketHandle, Open>,
+    next_port: u16,
+    shared: Arc<Shared>,
+}
+
+impl Crowd {
+    fn run(mut self) {
+        while !self.shared.stop.load(Ordering::Relaxed) {
+            while let Ok(spec) = self.specs.try_recv() {
+                self.open(spec);
+            }
+            self.stack.poll(self.fabric);
+            if self.stack.receive(WAIT, |_| true).is_err() {
+                return;
+            }
+            self.stack.poll(self.fabric);
+            let handles: Vec<SocketHandle> = self.flows.keys().copied().collect();
+            for handle in handles {
+                if let Some(outcome) = self.step(handle) {
+                    self.end(handle, outcome);
+                }
+            }
+        }
+    }
+
+    fn open(&mut self, spec: Spec) {
+        let handle = self.stack.add(BUFFER_BYTES);
+        let port = self.next_port;
+        self.next_port = port.checked_add(1).unwrap_or(FIRST_PORT);
+        self.stack.connect(handle, spec.service, port);
+        let (start, established) = (Instant::now(), None);
+        let open = Open { spec, port, start, established, received: Vec::new(), lines: 0 };
+        self.flows.insert(handle, open);
+    }
+
+    fn end(&mut self, handle: SocketHandle, outcome: Outcome) {
+        let Some(open) = self.flows.remove(&handle) else {
+            return;
+        };
+        let socket = self.stack.tcp(handle);
+        if socket.is_open() {
+            socket.abort();
+            self.stack.poll(self.fabric);
+        }
+        self.stack.sockets.remove(handle);
+        let lock = |error| PoisonError::into_inner(error);
+        self.shared.established.lock().unwrap_or_else(lock).remove(&open.spec.id);
+        let lock = |error| PoisonError::into_inner(error);
+        self.shared.outcomes.lock().unwrap_or_else(lock).insert(open.spec.id, outcome);
+    }
+
+    fn step(&mut self, handle: SocketHandle) -> Option<Outcome> {
+        let open = self.flows.get_mut(&handle)?;
+        let socket = self.stack.tcp(handle);
+        if open.established.is_none() {
+            if socket.state() == tcp::State::Closed {
+                return Some(Outcome::Refused);
+            }
+            if !socket.may_send() {
+                return (open.start.elapsed() > open.spec.deadline).then_some(Outcome::Unconnected);
+            }
+            open.established = Some(Instant::now());
+            let _ = socket.send_slice(question(&open.spec).as_bytes());
+            let established = &self.shared.established;
+            let mut established = established.lock().unwrap_or_else(PoisonError::into_inner);
+            established.insert(open.spec.id, open.port);
+        }
+        let _ = socket.recv(|bytes| {
+            open.received.extend_from_slice(bytes);
+            (bytes.len(), ())
+        });
+        match open.spec.kind {
+            Kind::Request { bytes } => request(open, socket, bytes),
+            Kind::Stream { interval, length } => stream(open, socket, interval, length),
+        }
+    }
+}
+
+fn question(spec: &Spec) -> String {
+    match spec.kind {
+        Kind::Request { bytes } => format!("R {} {bytes}\n", spec.id),
+        Kind::Stream { interval, .. } => format!("S {} {}\n", spec.id, interval.as_millis()),
+    }
+}
+
+fn request(open: &Open, socket: &mut tcp::Socket<'_>, bytes: u64) -> Option<Outcome> {
+    let end = open.received.iter().position(|byte| *byte == b'\n');
+    if let Some(end) = end {
+        let head = String::from_utf8_lossy(&open.received[..end]).into_owned();
+        let words: Vec<&str> = head.split(' ').collect();
+        let id = open.spec.id.to_string();
+        let content = &open.received[end + 1..];
+        let is_own = words.len() == 3 && words[0] == "A" && words[1] == id;
+        let is_right = body(open.spec.id, bytes).zip(content).all(|(due, byte)| due == *byte);
+        if !is_own || !is_right || content.len() as u64 > bytes {
+            return Some(Outcome::Wrong);
+        }
+        if content.len() as u64 == bytes && !socket.may_recv() {
+            socket.close();
+            let (upstream, time) = (words[2].into(), open.start.elapsed());
+            return (socket.state() != tcp::State::CloseWait)
+                .then_some(Outcome::Whole { upstream, time });
+        }
+    }
+    unfinished(open, socket)
+}
+
+fn stream(
+    open: &mut Open,
+    socket: &mut tcp::Socket<'_>,
+    interval: Duration,
+    length: Duration,
+) -> Option<Outcome> {
+    while let Some(end) = open.received.iter().position(|byte| *byte == b'\n') {
+        let line: Vec<u8> = open.received.drain(..=end).collect();
+        let due = format!("L {} {}\n", open.spec.id, open.lines);
+        if line != due.as_bytes() {
+            return Some(Outcome::Wrong);
+        }
+        open.lines += 1;
+    }
+    let age = open.established.map_or(Duration::ZERO, |since| since.elapsed());
+    // Lines may be late by a few retransmissions, but none may be missing.
+    let due = length.as_millis() / interval.as_millis().max(1);
+    if age >= length && u128::from(open.lines) >= due {
+        return Some(Outcome::Whole { upstream: "".into(), time: open.start.elapsed() });
+    }
+    unfinished(open, socket)
+}
+
+fn unfinished(open: &Open, socket: &tcp::Socket<'_>) -> Option<Outcome> {
+    if !socket.may_recv() && !socket.can_recv() {
+        return Some(Outcome::Broken);
+    }
+    (open.start.elapsed() > open.spec.deadline).then_some(Outcome::Unanswered)
+}
--- /dev/null
+++ b/crates/standin/src/cluster.rs
@@ -0,0 +1,465 @@
+//! A whole system of processes on loopback addresses.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use hyssopctl::{Client, Error as ClientError, Precondition};
+use hyssopdyke_wire::resource::{
+    Class, Domain, Kind, Listener, Protocol, Resource, Service, resource::Body,
+};
+
+use crate::{Behavior, Callers, Fabric, Process, Subnet, Truth, Upstream};
+
+/// Port of each entry for the fabric.
+const FABRIC_PORT: u16 = 5555;
+
+/// Port of each agent for its upstream's answers.
+const ANSWER_PORT: u16 = 5557;
+
+/// Ports of each control VM for daemons, operators and other control VMs.
+const CONTROL_PORTS: (u16, u16, u16) = (5560, 5561, 5562);
+
+/// Hosts of the subnet from which each role's VMs are counted.
+const CONTROL_HOST: u8 = 1;
+const ENTRY_HOST: u8 = 21;
+const AGENT_HOST: u8 = 101;
+const FABRIC_HOST: u8 = 250;
+const CALLER_HOST: u8 = 251;
+
+/// Pause between two looks at the system.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A service and its upstreams.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceLayout {
+    /// Name of the service.
+    pub name: Box<str>,
+    /// Port of the listener whose flows are requests.
+    pub request_port: u16,
+    /// Port of the listener whose flows are streams.
+    pub stream_port: u16,
+    /// Connections that an upstream bears.
+    pub connections: u32,
+    /// Slots that are declared.
+    pub slots: u32,
+    /// Slots of a cold upstream that are declared.
+    pub cold_slots: u32,
+    /// How each upstream behaves; its length is the number of upstreams.
+    pub upstreams: Vec<Behavior>,
+}
+
+impl ServiceLayout {
+    /// A service with some upstreams of the same behavior.
+    #[must_use]
+    pub fn new(name: &str, count: usize) -> Self {
+        Self {
+            name: name.into(),
+            request_port: 80,
+            stream_port: 81,
+            connections: 2000,
+            slots: 5,
+            cold_slots: 5,
+            upstreams: vec![Behavior::default(); count],
+        }
+    }
+}
+
+/// What a system is made of.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Layout {
+    /// Control VMs.
+    pub control: u8,
+    /// Entries.
+    pub entries: u8,
+    /// Failure domains, over which each role is spread in turn.
+    pub domains: Vec<Box<str>>,
+    /// Services.
+    pub services: Vec<ServiceLayout>,
+    /// More lines for the agents' `[agent]` section.
+    pub agent_settings: Box<str>,
+    /// Level of the logs.
+    pub log_level: Box<str>,
+    /// Seed of all that is random in the stand-ins.
+    pub seed: u64,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            control: 1,
+            entries: 2,
+            domains: ["fj-west-a", "fj-west-b", "fj-west-c"].map(Into::into).into(),
+            services: Vec::new(),
+            agent_settings: "".into(),
+            log_level: "info".into(),
+            seed: 1,
+        }
+    }
+}
+
+/// Why a system cannot be run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A process, socket or file.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The operators' API.
+    #[error("{0}")]
+    Client(#[from] ClientError),
+    /// No VM has this name.
+    #[error("no VM is named {0}")]
+    Unknown(Box<str>),
+    /// The system did not come to a state in time.
+    #[error("{what} after {patience:?}")]
+    Late {
+        /// What is still so.
+        what: Box<str>,
+        /// Time that was waited.
+        patience: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Vm {
+    role: &'static str,
+    config: PathBuf,
+    domain: Box<str>,
+    process: Option<Process>,
+}
+
+/// A running system with its surroundings.
+pub struct Cluster {
+    subnet: Subnet,
+    binary: PathBuf,
+    folder: PathBuf,
+    layout: Layout,
+    fabric: Fabric,
+    vms: BTreeMap<Box<str>, Vm>,
+    upstreams: BTreeMap<Box<str>, Upstream>,
+    client: Client,
+}
+
+impl Cluster {
+    /// Starts a system whose files are kept in `folder`, and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if it does not serve in time.
+    pub fn start(binary: &Path, folder: &Path, layout: Layout) -> Result<Self, Error> {
+        let subnet = Subnet::take()?;
+        std::fs::create_dir_all(folder)?;
+        let fabric = Fabric::spawn(subnet.vm(FABRIC_HOST), layout.seed)?;
+        let api = |index| SocketAddr::from((subnet.vm(CONTROL_HOST + index), CONTROL_PORTS.1));
+        let client = Client::new((0..layout.control).map(api));
+        let mut cluster = Self {
+            subnet,
+            binary: binary.into(),
+            folder: folder.into(),
+            layout,
+            fabric,
+            vms: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            client,
+        };
+        cluster.add_control()?;
+        cluster.declare()?;
+        for index in 0..cluster.layout.entries {
+            cluster.add_entry(index)?;
+        }
+        cluster.add_upstreams()?;
+        cluster.spray();
+        cluster.wait_in_force(Duration::from_secs(20))?;
+        Ok(cluster)
+    }
+
+    /// The client of the operators' API.
+    #[must_use]
+    pub const fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// The fabric.
+    #[must_use]
+    pub const fn fabric(&self) -> &Fabric {
+        &self.fabric
+    }
+
+    /// Folder of settings, logs and data.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// An upstream by its VM's name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] if there is none.
+    pub fn upstream(&self, name: &str) -> Result<&Upstream, Error> {
+        self.upstreams.get(name).ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    /// Name and observations of each upstream.
+    #[must_use]
+    pub fn truths(&self) -> BTreeMap<Box<str>, Truth> {
+        self.upstreams.iter().map(|(name, upstream)| (name.clone(), upstream.truth())).collect()
+    }
+
+    /// Failure domain of a VM.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] if there is none of that name.
+    pub fn domain(&self, name: &str) -> Result<&str, Error> {
+        self.vms.get(name).map(|vm| &*vm.domain).ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    /// Address and port of a service's requests.
+    #[must_use]
+    pub fn request_address(&self, service: usize) -> (Ipv4Addr, u16) {
+        (service_address(service), self.layout.services[service].request_port)
+    }
+
+    /// Address and port of a service's streams.
+    #[must_use]
+    pub fn stream_address(&self, service: usize) -> (Ipv4Addr, u16) {
+        (service_address(service), self.layout.services[service].stream_port)
+    }
+
+    /// Starts callers.
+    ///
+    /// # Errors
+    ///
+    /// If no socket can be bound.
+    pub fn callers(&self, index: u8) -> Result<Callers, Error> {
+        let inner = Ipv4Addr::new(10, 200, 0, index);
+        let outer = self.subnet.vm(CALLER_HOST);
+        let seed = self.layout.seed.wrapping_mul(1000) + u64::from(index);
+        Ok(Callers::spawn(inner, outer, self.fabric.for_callers(), seed)?)
+    }
+
+    /// The process on a VM.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] if there is none.
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
+        let vm = self.vms.get_mut(name).and_then(|vm| vm.process.as_mut());
+        vm.ok_or_else(|| Error::Unknown(name.into()))
+    }
+
+    /// Starts the process on a VM anew.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`], or if it cannot be started.
+    pub fn respawn(&mut self, name: &str) -> Result<(), Error> {
+        let vm = self.vms.get_mut(name).ok_or_else(|| Error::Unknown(name.into()))?;
+        // The former process must have ended before its ports are bound again.
+        vm.process = None;
+        let log = self.folder.join(format!("{name}.log"));
+        let config = vm.config.as_os_str();
+        let arguments = [vm.role.as_ref(), "--config".as_ref(), config];
+        vm.process = Some(Process::spawn(&self.binary, arguments, log)?);
+        Ok(())
+    }
+
+    /// Adds an entry and hands it packets.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn add_entry(&mut self, index: u8) -> Result<Box<str>, Error> {
+        let name: Box<str> = format!("entry-{}", index + 1).into();
+        self.add_vm(&name, "entry", ENTRY_HOST + index, usize::from(index), "[entry]\n", &[])?;
+        Ok(name)
+    }
+
+    /// Hands packets to all entries whose processes run.
+    pub fn spray(&self) {
+        let entries = (0..=u8::MAX - ENTRY_HOST).filter(|index| {
+            let name = format!("entry-{}", index + 1);
+            self.vms.get(name.as_str()).is_some_and(|vm| vm.process.is_some())
+        });
+        let address = |index| SocketAddr::from((self.subnet.vm(ENTRY_HOST + index), FABRIC_PORT));
+        self.fabric.set_entries(entries.map(address));
+    }
+
+    /// Hands packets to the named entries only.
+    pub fn spray_only(&self, indices: &[u8]) {
+        let address =
+            |index: &u8| SocketAddr::from((self.subnet.vm(ENTRY_HOST + index), FABRIC_PORT));
+        self.fabric.set_entries(indices.iter().map(address));
+    }
+
+    /// Takes a failure domain out or back in, and returns the revision.
+    ///
+    /// # Errors
+    ///
+    /// If control does not answer.
+    pub fn set_domain(&self, name: &str, out: bool) -> Result<u64, Error> {
+        let body = Some(Body::Domain(Domain { out }));
+        let resource = Resource { name: name.into(), body, ..Resource::default() };
+        let key = Client::idempotency_key();
+        let written = self.client.put(Kind::Domain, &resource, Precondition::None, &key)?;
+        Ok(written.revision)
+    }
+
+    /// Waits until every daemon whose process was started is registered, and the latest revision
+    /// is in force.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Late`] if that is not so within `patience`.
+    pub fn wait_in_force(&self, patience: Duration) -> Result<u64, Error> {
+        let start = Instant::now();
+        let running = self.vms.values().filter(|vm| vm.role != "control" && vm.process.is_some());
+        let due = running.count();
+        loop {
+            let status = self.client.status()?;
+            if status.daemons.len() >= due && status.in_force == status.revision {
+                return Ok(status.revision);
+            }
+            if start.elapsed() > patience {
+                let what = format!("{status:?} with {due} daemons");
+                return Err(Error::Late { what: what.into(), patience });
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    fn add_control(&mut self) -> Result<(), Error> {
+        let voters: Vec<String> = (0..self.layout.control)
+            .map(|index| {
+                let address = self.subnet.vm(CONTROL_HOST + index);
+                format!("control-{}@{address}:{}", index + 1, CONTROL_PORTS.2)
+            })
+            .collect();
+        for index in 0..self.layout.control {
+            let name = format!("control-{}", index + 1);
+            let data = self.folder.join(format!("{name}.data"));
+            let section = format!(
+                "[control]\ndata = {}\nsession_port = {}\napi_port = {}\nreplica_port = {}\n\
+                 voters = {}\n",
+                data.display(),
+                CONTROL_PORTS.0,
+                CONTROL_PORTS.1,
+                CONTROL_PORTS.2,
+                voters.join(", "),
+            );
+            let (host, form) = (CONTROL_HOST + index, ["--form"]);
+            self.add_vm(&name, "control", host, usize::from(index), &section, &form)?;
+        }
+        Ok(())
+    }
+
+    fn add_upstreams(&mut self) -> Result<(), Error> {
+        let mut host = AGENT_HOST;
+        let mut place = 0;
+        for (service, layout) in self.layout.services.clone().into_iter().enumerate() {
+            for (index, behavior) in layout.upstreams.iter().enumerate() {
+                let name: Box<str> = format!("{}-{}", layout.name, index + 1).into();
+                let vm = self.subnet.vm(host);
+                let agent = SocketAddr::from((vm, ANSWER_PORT));
+                let ports = [layout.request_port, layout.stream_port];
+                let seed = self.layout.seed.wrapping_mul(7919) + u64::from(host);
+                let upstream = Upstream::spawn(
+                    &name,
+                    vm,
+                    agent,
+                    (service_address(service), &ports),
+                    behavior.clone(),
+                    seed,
+                )?;
+                let section = format!(
+                    "[agent]\nservice = {}\nupstream = {}\nfabric = {}\nanswer_port = \
+                     {ANSWER_PORT}\n{}\n",
+                    layout.name,
+                    upstream.address(),
+                    self.fabric.for_agents(),
+                    self.layout.agent_settings,
+                );
+                self.upstreams.insert(name.clone(), upstream);
+                self.add_vm(&name, "agent", host, place, &section, &[])?;
+                host += 1;
+                place += 1;
+            }
+        }
+        Ok(())
+    }
+
+    fn add_vm(
+        &mut self,
+        name: &str,
+        role: &'static str,
+        host: u8,
+        place: usize,
+        section: &str,
+        more: &[&str],
+    ) -> Result<(), Error> {
+        let domain = self.layout.domains[place % self.layout.domains.len()].clone();
+        let control: Vec<String> = (0..self.layout.control)
+            .map(|index| format!("{}:{}", self.subnet.vm(CONTROL_HOST + index), CONTROL_PORTS.0))
+            .collect();
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = write!(
+            text,
+            "[vm]\nname = {name}\ndomain = {domain}\naddress = {}\n\n[cluster]\n\
+             passphrase = a passphrase for tests only\ncontrol = {}\n\n[log]\nlevel = {}\n\
+             form = json\n\n{section}",
+            self.subnet.vm(host),
+            control.join(", "),
+            self.layout.log_level,
+        );
+        let config = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&config, text)?;
+        let log = self.folder.join(format!("{name}.log"));
+        let arguments = [role.as_ref(), "--config".as_ref(), config.as_os_str()];
+        let arguments = arguments.into_iter().chain(more.iter().map(AsRef::as_ref));
+        let process = Some(Process::spawn(&self.binary, arguments, log)?);
+        self.vms.insert(name.into(), Vm { role, config, domain, process });
+        Ok(())
+    }
+
+    fn declare(&self) -> Result<(), Error> {
+        for (index, layout) in self.layout.services.iter().enumerate() {
+            let listener = |port: u16, class: Class| Listener {
+                address: service_address(index).to_string(),
+                port: port.into(),
+                protocol: Protocol::Tcp as i32,
+                class: class as i32,
+            };
+            let service = Service {
+                listeners: vec![
+                    listener(layout.request_port, Class::Request),
+                    listener(layout.stream_port, Class::Stream),
+                ],
+                connections: layout.connections,
+                slots: layout.slots,
+                cold_slots: layout.cold_slots,
+                epoch: 0,
+            };
+            let resource = Resource {
+                name: layout.name.to_string(),
+                body: Some(Body::Service(service)),
+                ..Resource::default()
+            };
+            let key = Client::idempotency_key();
+            self.client.put(Kind::Service, &resource, Precondition::Absent, &key)?;
+        }
+        for domain in &self.layout.domains {
+            self.set_domain(domain, false)?;
+        }
+        Ok(())
+    }
+}
+
+/// Address of a service by its place in the layout.
+fn service_address(index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 100, 0, 1 + index as u8)
+}
--- /dev/null
+++ b/crates/standin/src/fabric.rs
@@ -0,0 +1,159 @@
+//! A fabric that hands any packet to any entry.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use hyssopdyke::request::Packet;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Time after which an idle fabric looks whether it shall stop.
+const IDLE: Duration = Duration::from_millis(20);
+
+/// Bytes of the longest datagram.
+const DATAGRAM_BYTES: usize = 2048;
+
+/// What the fabric does to callers' packets besides carrying them.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Faults {
+    /// Share of packets that are lost.
+    pub loss: f64,
+    /// Share of packets that are carried twice, to two entries.
+    pub duplicates: f64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: Vec<SocketAddr>,
+    callers: HashMap<IpAddr, SocketAddr>,
+    faults: Faults,
+    /// Callers' flows that are lost between the ends, by the caller's port.
+    lost_ports: Vec<u16>,
+}
+
+/// A running fabric.
+#[derive(Debug)]
+pub struct Fabric {
+    state: Arc<Mutex<State>>,
+    for_callers: SocketAddr,
+    for_agents: SocketAddr,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Fabric {
+    /// Starts a fabric on an address.
+    ///
+    /// # Errors
+    ///
+    /// If no socket can be bound.
+    pub fn spawn(address: Ipv4Addr, seed: u64) -> io::Result<Self> {
+        let callers = socket(address)?;
+        let agents = socket(address)?;
+        let (for_callers, for_agents) = (callers.local_addr()?, agents.local_addr()?);
+        let state = Arc::new(Mutex::new(State::default()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let sender = callers.try_clone()?;
+        let inbound = {
+            let (state, stop) = (Arc::clone(&state), Arc::clone(&stop));
+            std::thread::spawn(move || spray(&callers, &state, &stop, seed))
+        };
+        let outbound = {
+            let (state, stop) = (Arc::clone(&state), Arc::clone(&stop));
+            std::thread::spawn(move || answer(&agents, &sender, &state, &stop))
+        };
+        Ok(Self { state, for_callers, for_agents, stop, threads: vec![inbound, outbound] })
+    }
+
+    /// Where callers send packets.
+    #[must_use]
+    pub const fn for_callers(&self) -> SocketAddr {
+        self.for_callers
+    }
+
+    /// Where agents send answers.
+    #[must_use]
+    pub const fn for_agents(&self) -> SocketAddr {
+        self.for_agents
+    }
+
+    /// Sets the entries that packets are handed to.
+    pub fn set_entries(&self, entries: impl IntoIterator<Item = SocketAddr>) {
+        self.state().entries = entries.into_iter().collect();
+    }
+
+    /// Sets what is done to packets.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// Loses all packets of a caller's port from now on, in both directions.
+    pub fn lose(&self, port: u16) {
+        self.state().lost_ports.push(port);
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Fabric {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn socket(address: Ipv4Addr) -> io::Result<UdpSocket> {
+    let socket = UdpSocket::bind((address, 0))?;
+    socket.set_read_timeout(Some(IDLE))?;
+    Ok(socket)
+}
+
+fn spray(socket: &UdpSocket, state: &Mutex<State>, stop: &AtomicBool, seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut buffer = [0; DATAGRAM_BYTES];
+    while !stop.load(Ordering::Relaxed) {
+        let Ok((length, from)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        let Ok(packet) = Packet::parse(&buffer[..length]) else {
+            continue;
+        };
+        let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.callers.insert(packet.source.ip(), from);
+        let is_lost = state.lost_ports.contains(&packet.source.port());
+        if is_lost || state.entries.is_empty() || random.random_bool(state.faults.loss) {
+            continue;
+        }
+        let copies = 1 + u32::from(random.random_bool(state.faults.duplicates));
+        for _ in 0..copies {
+            let entry = state.entries[random.random_range(0..state.entries.len())];
+            let _ = socket.send_to(&buffer[..length], entry);
+        }
+    }
+}
+
+fn answer(socket: &UdpSocket, sender: &UdpSocket, state: &Mutex<State>, stop: &AtomicBool) {
+    let mut buffer = [0; DATAGRAM_BYTES];
+    while !stop.load(Ordering::Relaxed) {
+        let Ok((length, _)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        let Ok(packet) = Packet::parse(&buffer[..length]) else {
+            continue;
+        };
+        let state = state.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_lost = state.lost_ports.contains(&packet.destination.port());
+        if let Some(caller) = state.callers.get(&packet.destination.ip()).filter(|_| !is_lost) {
+            let _ = sender.send_to(&buffer[..length], *caller);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,20 @@
+//! Small stand-ins for what surrounds hyssopdyke, for its tests and chores.
+//!
+//! A [`Fabric`] sprays packets over the entries, [`Callers`] and [`Upstream`]s speak real TCP
+//! through a user-space stack, and a [`Cluster`] runs the daemons as separate processes, each
+//! with a loopback address of its own.
+
+mod caller;
+mod cluster;
+mod fabric;
+mod process;
+mod stack;
+mod subnet;
+mod upstream;
+
+pub use caller::{Callers, Kind, Outcome, Spec, Tally};
+pub use cluster::{Cluster, Error, Layout, ServiceLayout};
+pub use fabric::{Fabric, Faults};
+pub use process::Process;
+pub use subnet::Subnet;
+pub use upstream::{Behavior, Truth, Upstream};
--- /dev/null
+++ b/crates/standin/src/stack.rs
@@ -0,0 +1,165 @@
+//! A user-space TCP/IP stack whose packets travel in UDP.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
+use smoltcp::phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken};
+use smoltcp::socket::tcp;
+use smoltcp::time::Instant as StackInstant;
+use smoltcp::wire::{HardwareAddress, IpAddress, IpCidr};
+
+/// Bytes of the longest inner packet: an Ethernet frame's 1500 less the outer headers.
+const MTU: usize = 1400;
+
+/// Bytes of the longest datagram.
+const DATAGRAM_BYTES: usize = 2048;
+
+/// Datagrams that are taken from the socket before the stack is polled.
+const BATCH: usize = 256;
+
+/// Packets on their way into and out of the stack.
+#[derive(Debug, Default)]
+pub(crate) struct Queues {
+    incoming: VecDeque<Vec<u8>>,
+    outgoing: VecDeque<Vec<u8>>,
+}
+
+pub(crate) struct Received(Vec<u8>);
+
+impl RxToken for Received {
+    fn consume<R, F: FnOnce(&[u8]) -> R>(self, take: F) -> R {
+        take(&self.0)
+    }
+}
+
+pub(crate) struct Sent<'a>(&'a mut VecDeque<Vec<u8>>);
+
+impl TxToken for Sent<'_> {
+    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, length: usize, fill: F) -> R {
+        let mut packet = vec![0; length];
+        let result = fill(&mut packet);
+        self.0.push_back(packet);
+        result
+    }
+}
+
+impl Device for Queues {
+    type RxToken<'a> = Received;
+    type TxToken<'a> = Sent<'a>;
+
+    fn receive(&mut self, _: StackInstant) -> Option<(Received, Sent<'_>)> {
+        let packet = self.incoming.pop_front()?;
+        Some((Received(packet), Sent(&mut self.outgoing)))
+    }
+
+    fn transmit(&mut self, _: StackInstant) -> Option<Sent<'_>> {
+        Some(Sent(&mut self.outgoing))
+    }
+
+    fn capabilities(&self) -> DeviceCapabilities {
+        let mut capabilities = DeviceCapabilities::default();
+        capabilities.medium = Medium::Ip;
+        capabilities.max_transmission_unit = MTU;
+        capabilities
+    }
+}
+
+/// A stack with its sockets, and the UDP socket that carries its packets.
+pub(crate) struct Stack {
+    pub(crate) sockets: SocketSet<'static>,
+    interface: Interface,
+    queues: Queues,
+    tunnel: UdpSocket,
+    start: Instant,
+}
+
+impl Stack {
+    /// A stack with one address, whose packets come to `tunnel`.
+    pub(crate) fn new(address: Ipv4Addr, tunnel: UdpSocket, seed: u64) -> io::Result<Self> {
+        let start = Instant::now();
+        let mut queues = Queues::default();
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = seed;
+        let mut interface = Interface::new(config, &mut queues, StackInstant::ZERO);
+        interface.update_ip_addrs(|addresses| {
+            // The list has room for more addresses than one.
+            let _ = addresses.push(IpCidr::new(IpAddress::Ipv4(address), 0));
+        });
+        tunnel.set_nonblocking(false)?;
+        let sockets = SocketSet::new(Vec::new());
+        Ok(Self { sockets, interface, queues, tunnel, start })
+    }
+
+    /// Adds a TCP socket.
+    pub(crate) fn add(&mut self, buffer_bytes: usize) -> SocketHandle {
+        let buffer = || tcp::SocketBuffer::new(vec![0; buffer_bytes]);
+        let mut socket = tcp::Socket::new(buffer(), buffer());
+        socket.set_nagle_enabled(false);
+        self.sockets.add(socket)
+    }
+
+    /// A TCP socket.
+    pub(crate) fn tcp(&mut self, handle: SocketHandle) -> &mut tcp::Socket<'static> {
+        self.sockets.get_mut(handle)
+    }
+
+    /// Opens a connection.
+    pub(crate) fn connect(
+        &mut self,
+        handle: SocketHandle,
+        to: (Ipv4Addr, u16),
+        from_port: u16,
+    ) -> bool {
+        let socket = self.sockets.get_mut::<tcp::Socket<'_>>(handle);
+        socket.connect(self.interface.context(), to, from_port).is_ok()
+    }
+
+    /// Waits for packets for at most `wait`, and hands them to the stack.
+    ///
+    /// `inspect` sees each packet first and may drop it.
+    pub(crate) fn receive(
+        &mut self,
+        wait: Duration,
+        mut inspect: impl FnMut(&[u8]) -> bool,
+    ) -> io::Result<()> {
+        let mut buffer = [0; DATAGRAM_BYTES];
+        self.tunnel.set_read_timeout(Some(wait.max(Duration::from_micros(200))))?;
+        for index in 0..BATCH {
+            match self.tunnel.recv_from(&mut buffer) {
+                Ok((length, _)) => {
+                    if inspect(&buffer[..length]) {
+                        self.queues.incoming.push_back(buffer[..length].to_vec());
+                    }
+                }
+                Err(error) if is_empty(&error) => break,
+                Err(error) => return Err(error),
+            }
+            if index == 0 {
+                self.tunnel.set_nonblocking(true)?;
+            }
+        }
+        self.tunnel.set_nonblocking(false)
+    }
+
+    /// Lets the stack work, and sends its packets to `to`.
+    pub(crate) fn poll(&mut self, to: SocketAddr) {
+        let now = self.now();
+        self.interface.poll(now, &mut self.queues, &mut self.sockets);
+        for packet in self.queues.outgoing.drain(..) {
+            // A lost packet is sent again by the stack.
+            let _ = self.tunnel.send_to(&packet, to);
+        }
+    }
+
+    fn now(&self) -> StackInstant {
+        StackInstant::from_micros(self.start.elapsed().as_micros() as i64)
+    }
+}
+
+fn is_empty(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionRefused, Interrupted, TimedOut, WouldBlock};
+    matches!(error.kind(), WouldBlock | TimedOut | Interrupted | ConnectionRefused)
+}
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,406 @@
+//! An upstream: a server that runs requests in slots and pushes lines on streams.
+//!
+//! A caller sends one line. `R id bytes` is a request: it takes a slot for the service time and
+//! is answered with `A id upstream` and that many bytes. `S id interval_ms` is a stream: a line
+//! `L id n` is pushed at each interval until the caller closes.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use hyssopdyke::request::Packet;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use smoltcp::iface::SocketHandle;
+use smoltcp::socket::tcp;
+
+use crate::stack::Stack;
+
+/// Longest wait for packets.
+const WAIT: Duration = Duration::from_millis(1);
+
+/// Sockets that wait for a connection at a time on each port.
+const BACKLOG: usize = 16;
+
+/// Bytes of a socket's buffer.
+const BUFFER_BYTES: usize = 4096;
+
+/// How an upstream behaves.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Behavior {
+    /// Mean time of a request, exponentially distributed.
+    pub service_time: Duration,
+    /// Requests that it bears at a time once it is warm.
+    pub slots: u32,
+    /// Requests that it bears at a time while it is cold.
+    pub cold_slots: u32,
+    /// Requests that it must answer to become warm; 0 for an upstream that is warm at once.
+    pub warming_requests: u32,
+    /// Time for which it answers nothing after it was given more than it bears.
+    pub fall: Duration,
+    /// Resets each request instead of answering it.
+    pub fails: bool,
+}
+
+impl Default for Behavior {
+    fn default() -> Self {
+        Self {
+            service_time: Duration::from_millis(20),
+            slots: 5,
+            cold_slots: 5,
+            warming_requests: 0,
+            fall: Duration::from_secs(2),
+            fails: false,
+        }
+    }
+}
+
+/// What an upstream has seen.
+#[derive(Debug, Clone, Default)]
+pub struct Truth {
+    /// Times that each request was begun, by id.
+    pub runs: HashMap<u64, u32>,
+    /// Packets to another address than its service's.
+    pub foreign: u64,
+    /// Packets of any kind, and the time of the last one.
+    pub packets: u64,
+    /// Arrival of the last packet.
+    pub last_packet: Option<Instant>,
+    /// Requests that run now.
+    pub running: u32,
+    /// Most requests that ran at a time.
+    pub most_running: u32,
+    /// Times that it was given more than it bears.
+    pub falls: u32,
+    /// Sum of the service times of all requests.
+    pub busy: Duration,
+    /// Connections that are open now.
+    pub connections: usize,
+    /// Requests that it was given since it was last made cold.
+    pub warmed: u32,
+}
+
+struct Shared {
+    truth: Mutex<Truth>,
+    behavior: Mutex<Behavior>,
+    stop: AtomicBool,
+}
+
+impl Shared {
+    fn truth(&self) -> std::sync::MutexGuard<'_, Truth> {
+        self.truth.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn behavior(&self) -> Behavior {
+        self.behavior.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// A running upstream.
+pub struct Upstream {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Upstream {
+    /// Starts an upstream of a service on a VM, whose answers go to its agent.
+    ///
+    /// # Errors
+    ///
+    /// If the socket cannot be bound.
+    pub fn spawn(
+        name: &str,
+        vm: Ipv4Addr,
+        agent: SocketAddr,
+        service: (Ipv4Addr, &[u16]),
+        behavior: Behavior,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let tunnel = UdpSocket::bind((vm, 0))?;
+        let address = tunnel.local_addr()?;
+        let shared = Arc::new(Shared {
+            truth: Mutex::new(Truth::default()),
+            behavior: Mutex::new(behavior),
+            stop: AtomicBool::new(false),
+        });
+        let server = Server {
+            name: name.into(),
+            service: service.0,
+            stack: Stack::new(service.0, tunnel, seed)?,
+            agent,
+            shared: Arc::clone(&shared),
+            listening: service.1.iter().map(|port| (*port, Vec::new())).collect(),
+            connections: HashMap::new(),
+            random: SmallRng::seed_from_u64(seed),
+            fallen_until: None,
+        };
+        let thread = std::thread::spawn(move || server.run());
+        Ok(Self { address, shared, thread: Some(thread) })
+    }
+
+    /// Where the upstream takes packets.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has seen so far.
+    #[must_use]
+    pub fn truth(&self) -> Truth {
+        self.shared.truth().clone()
+    }
+
+    /// Makes it behave otherwise from now on.
+    pub fn set_behavior(&self, behavior: Behavior) {
+        *self.shared.behavior.lock().unwrap_or_else(PoisonError::into_inner) = behavior;
+    }
+
+    /// Makes it cold.
+    pub fn cool(&self) {
+        self.shared.truth().warmed = 0;
+    }
+
+    /// Forgets the highest number of requests at a time.
+    pub fn reset_most_running(&self) {
+        let mut truth = self.shared.truth();
+        truth.most_running = truth.running;
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+enum Work {
+    /// The caller's line is not complete.
+    Reading(Vec<u8>),
+    /// A request runs until an instant, and is then answered.
+    Running { until: Instant, answer: Vec<u8> },
+    /// The answer is being sent.
+    Answering(VecDeque<u8>),
+    /// Lines are pushed.
+    Streaming { id: u64, interval: Duration, next: Instant, count: u64 },
+    /// Nothing is left to do.
+    Done,
+}
+
+struct Server {
+    name: Box<str>,
+    service: Ipv4Addr,
+    stack: Stack,
+    agent: SocketAddr,
+    shared: Arc<Shared>,
+    listening: HashMap<u16, Vec<SocketHandle>>,
+    connections: HashMap<SocketHandle, Work>,
+    random: SmallRng,
+    fallen_until: Option<Instant>,
+}
+
+impl Server {
+    fn run(mut self) {
+        while !self.shared.stop.load(Ordering::Relaxed) {
+            let service = self.service;
+            let is_fallen = self.fallen_until.is_some_and(|until| Instant::now() < until);
+            let shared = Arc::clone(&self.shared);
+            let received = self.stack.receive(WAIT, |bytes| {
+                let mut truth = shared.truth();
+                truth.packets += 1;
+                truth.last_packet = Some(Instant::now());
+                let destination = Packet::parse(bytes).map(|packet| packet.destination.ip());
+                let is_foreign = destination.is_ok_and(|address| address != service);
+                truth.foreign += u64::from(is_foreign);
+                !is_fallen
+            });
+            if received.is_err() {
+                return;
+            }
+            if is_fallen {
+                continue;
+            }
+            self.listen();
+            self.stack.poll(self.agent);
+            self.accept();
+            self.serve();
+            self.stack.poll(self.agent);
+        }
+    }
+
+    fn listen(&mut self) {
+        for (port, handles) in &mut self.listening {
+            while handles.len() < BACKLOG {
+                let handle = self.stack.add(BUFFER_BYTES);
+                if self.stack.tcp(handle).listen(*port).is_err() {
+                    return;
+                }
+                handles.push(handle);
+            }
+        }
+    }
+
+    fn accept(&mut self) {
+        for handles in self.listening.values_mut() {
+            let stack = &mut self.stack;
+            let connections = &mut self.connections;
+            handles.retain(|handle| {
+                let is_waiting = matches!(
+                    stack.tcp(*handle).state(),
+                    tcp::State::Listen | tcp::State::SynReceived
+                );
+                if !is_waiting {
+                    connections.insert(*handle, Work::Reading(Vec::new()));
+                }
+                is_waiting
+            });
+        }
+    }
+
+    fn serve(&mut self) {
+        let handles: Vec<SocketHandle> = self.connections.keys().copied().collect();
+        for handle in handles {
+            let Some(work) = self.connections.remove(&handle) else {
+                continue;
+            };
+            if !self.stack.tcp(handle).is_open() {
+                if matches!(work, Work::Running { .. }) {
+                    self.finish_run();
+                }
+                self.stack.sockets.remove(handle);
+                continue;
+            }
+            let work = self.step(handle, work);
+            self.connections.insert(handle, work);
+            if self.fallen_until.is_some() {
+                return self.fall();
+            }
+        }
+        self.shared.truth().connections = self.connections.len();
+    }
+
+    fn step(&mut self, handle: SocketHandle, work: Work) -> Work {
+        match work {
+            Work::Reading(line) => self.read(handle, line),
+            Work::Running { until, answer } if Instant::now() >= until => {
+                self.finish_run();
+                Work::Answering(answer.into())
+            }
+            Work::Answering(mut rest) => {
+                let socket = self.stack.tcp(handle);
+                let sent = socket.send_slice(rest.make_contiguous()).unwrap_or(0);
+                rest.drain(..sent);
+                if rest.is_empty() {
+                    socket.close();
+                    return Work::Done;
+                }
+                Work::Answering(rest)
+            }
+            Work::Streaming { id, interval, next, count } => {
+                let socket = self.stack.tcp(handle);
+                if !socket.may_recv() {
+                    socket.close();
+                    return Work::Done;
+                }
+                if Instant::now() < next {
+                    return Work::Streaming { id, interval, next, count };
+                }
+                let line = format!("L {id} {count}\n");
+                let _ = socket.send_slice(line.as_bytes());
+                Work::Streaming { id, interval, next: next + interval, count: count + 1 }
+            }
+            Work::Done => {
+                // A caller that closes late has nothing more to say.
+                let _ = self.stack.tcp(handle).recv(|bytes| (bytes.len(), ()));
+                Work::Done
+            }
+            running @ Work::Running { .. } => running,
+        }
+    }
+
+    fn read(&mut self, handle: SocketHandle, mut line: Vec<u8>) -> Work {
+        let socket = self.stack.tcp(handle);
+        let _ = socket.recv(|bytes| {
+            line.extend_from_slice(bytes);
+            (bytes.len(), ())
+        });
+        if line.last() != Some(&b'\n') {
+            if !socket.may_recv() {
+                socket.close();
+            }
+            return Work::Reading(line);
+        }
+        let text = String::from_utf8_lossy(&line).into_owned();
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let number = |index: usize| words.get(index).and_then(|word| word.parse::<u64>().ok());
+        match (words.first().copied(), number(1), number(2)) {
+            (Some("R"), Some(id), Some(bytes)) => self.begin(handle, id, bytes),
+            (Some("S"), Some(id), Some(millis)) => {
+                let interval = Duration::from_millis(millis);
+                Work::Streaming { id, interval, next: Instant::now(), count: 0 }
+            }
+            _ => {
+                self.stack.tcp(handle).abort();
+                Work::Done
+            }
+        }
+    }
+
+    fn begin(&mut self, handle: SocketHandle, id: u64, bytes: u64) -> Work {
+        let behavior = self.shared.behavior();
+        if behavior.fails {
+            self.stack.tcp(handle).abort();
+            return Work::Done;
+        }
+        let exponential = -(1.0 - self.random.random::<f64>()).ln();
+        let time = behavior.service_time.mul_f64(exponential);
+        let mut truth = self.shared.truth();
+        *truth.runs.entry(id).or_default() += 1;
+        truth.running += 1;
+        truth.warmed += 1;
+        truth.most_running = truth.most_running.max(truth.running);
+        truth.busy += time;
+        let is_warm = truth.warmed >= behavior.warming_requests;
+        let bears = if is_warm { behavior.slots } else { behavior.cold_slots };
+        if truth.running > bears {
+            truth.falls += 1;
+            self.fallen_until = Some(Instant::now() + behavior.fall);
+        }
+        drop(truth);
+        Work::Running { until: Instant::now() + time, answer: answer(&self.name, id, bytes) }
+    }
+
+    fn finish_run(&mut self) {
+        let mut truth = self.shared.truth();
+        truth.running = truth.running.saturating_sub(1);
+    }
+
+    /// Loses all connections, as a server does that was given more than it bears.
+    fn fall(&mut self) {
+        for (handle, _) in self.connections.drain() {
+            self.stack.tcp(handle).abort();
+        }
+        self.stack.poll(self.agent);
+        self.shared.truth().running = 0;
+        self.shared.truth().warmed = 0;
+    }
+}
+
+/// The whole answer to a request.
+pub(crate) fn answer(upstream: &str, id: u64, bytes: u64) -> Vec<u8> {
+    let mut answer = format!("A {id} {upstream}\n").into_bytes();
+    answer.extend(body(id, bytes));
+    answer
+}
+
+/// The bytes that a request asked for, which depend on its id.
+pub(crate) fn body(id: u64, bytes: u64) -> impl Iterator<Item = u8> {
+    (0..bytes).map(move |index| (id.wrapping_mul(31).wrapping_add(index) % 251) as u8)
+}
--- /dev/null
+++ b/crates/xtask/src/quickstart.rs
@@ -0,0 +1,114 @@
+//! Runs the whole path for a few seconds: control, entries, agents, fabric, upstreams, callers.
+
+use std::path::PathBuf;
+use std::process::Command as Program;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Result, WrapErr, ensure};
+use standin::{Cluster, Kind, Layout, Outcome, ServiceLayout, Spec, Tally};
+
+/// Time that a caller waits for the end of its request.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Bytes of an answer.
+const ANSWER_BYTES: u64 = 3000;
+
+/// Requests a second.
+const RATE: u32 = 100;
+
+/// Streams that are open for the whole time.
+const STREAMS: u64 = 20;
+
+pub(crate) fn command() -> Command {
+    Command::new("quickstart")
+        .about("Build, start a small system on loopback, and run callers against it")
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .default_value("5")
+                .value_parser(value_parser!(u64).range(1..=600)),
+        )
+}
+
+/// Builds the daemons and returns the folder of the programs.
+pub(crate) fn build() -> Result<PathBuf> {
+    let status = Program::new(env!("CARGO"))
+        .args(["build", "--locked", "--package", "hyssopdyked", "--package", "hyssopctl"])
+        .status()?;
+    ensure!(status.success(), "the daemons do not build");
+    let own = std::env::current_exe()?;
+    let folder = own.parent().map(PathBuf::from);
+    folder.ok_or_else(|| eyre::eyre!("{} has no folder", own.display()))
+}
+
+/// A folder for the files of a run, emptied.
+pub(crate) fn folder(name: &str) -> Result<PathBuf> {
+    let folder = build_folder()?.join(name);
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    Ok(folder)
+}
+
+fn build_folder() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let target = own.ancestors().nth(2).map(PathBuf::from);
+    target.ok_or_else(|| eyre::eyre!("{} is in no target folder", own.display()))
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
+    let seconds = *matches.get_one::<u64>("seconds").unwrap_or(&5);
+    let binary = build()?.join("hyssopdyked");
+    let folder = folder("quickstart")?;
+    let layout = Layout {
+        services: vec![ServiceLayout::new("dispatch", 3), ServiceLayout::new("survey", 2)],
+        ..Layout::default()
+    };
+    let cluster = Cluster::start(&binary, &folder, layout).wrap_err("starting the system")?;
+    println!("1 control VM, 2 entries and 5 agents run; their files are in {}", folder.display());
+
+    let mut callers = cluster.callers(1)?;
+    let length = Duration::from_secs(seconds);
+    for id in 0..STREAMS {
+        let service = cluster.stream_address(id as usize % 2);
+        let kind = Kind::Stream { interval: Duration::from_millis(50), length };
+        callers.start(Spec { id, service, kind, deadline: length + DEADLINE });
+    }
+    let start = Instant::now();
+    let mut id = STREAMS;
+    while start.elapsed() < length {
+        let service = cluster.request_address(id as usize % 2);
+        let kind = Kind::Request { bytes: ANSWER_BYTES };
+        callers.start(Spec { id, service, kind, deadline: DEADLINE });
+        id += 1;
+        std::thread::sleep(Duration::from_secs(1) / RATE);
+    }
+    let finished = callers.finish(length + DEADLINE * 2);
+    print_results(&cluster, &callers.outcomes().into_values().collect::<Vec<_>>());
+    ensure!(finished, "some flows have no outcome");
+    Ok(())
+}
+
+fn print_results(cluster: &Cluster, outcomes: &[Outcome]) {
+    let tally = Tally::new(outcomes);
+    println!("whole answers    {:>6} of {}", tally.whole, tally.total());
+    println!("broken flows     {:>6}", tally.broken + tally.unanswered);
+    println!("wrong answers    {:>6}", tally.wrong);
+    println!("refused          {:>6}", tally.refused);
+    println!("not connected    {:>6}", tally.unconnected);
+    let truths = cluster.truths();
+    let foreign: u64 = truths.values().map(|truth| truth.foreign).sum();
+    println!("foreign packets  {foreign:>6}");
+    for service in ["dispatch", "survey"] {
+        let own = truths.iter().filter(|(name, _)| name.starts_with(service));
+        let busy: Vec<f64> = own.map(|(_, truth)| truth.busy.as_secs_f64()).collect();
+        println!("imbalance        {:>6.2} (max/mean of busy time, {service})", imbalance(&busy));
+    }
+}
+
+/// Highest over mean.
+pub(crate) fn imbalance(values: &[f64]) -> f64 {
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    values.iter().copied().fold(0.0, f64::max) / mean
+}
