fix(agent): verify adopted flows by probing the upstream

Cause: a restarted agent adopts its flows from the other members' records. A request that had ended within the last 5 s is still on record, and was adopted with a slot that nothing freed: the agent declined new requests as full. Ruled out: the learned limit (it stayed at 5) and draining (state was active). An adopted flow is now probed at once with an acknowledged sequence number, which an upstream answers with its state or with a reset.

--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -80,6 +80,8 @@
     upstream_heard: Instant,
     probed: Option<Instant>,
     probes: u32,
+    /// The upstream has not been heard since the flow was adopted.
+    unverified: bool,
     opened: bool,
     slot: bool,
     closed: Option<Instant>,
@@ -98,6 +100,7 @@
             upstream_heard: now,
             probed: None,
             probes: 0,
+            unverified: false,
             opened: false,
             slot,
             closed: None,
@@ -107,7 +110,7 @@
     /// A flow that a former process of this agent admitted: it is open and its numbers unknown.
     #[must_use]
     pub fn adopted(isn: u32, now: Instant, slot: bool) -> Self {
-        Self { opened: true, ..Self::new(isn, now, slot) }
+        Self { opened: true, unverified: true, ..Self::new(isn, now, slot) }
     }
 
     /// Whether both ends have finished, or one has reset the connection.
@@ -153,6 +156,7 @@
 
     fn outbound(&mut self, segment: Option<&Segment>, now: Instant) -> Option<Event> {
         self.upstream_heard = now;
+        self.unverified = false;
         let age = now.duration_since(self.since);
         let Some(segment) = segment else {
             self.opened = true;
@@ -277,6 +281,15 @@
         expired.map(|(flow, _)| *flow).collect()
     }
 
+    /// Adopted TCP flows whose upstream has not shown yet that it holds them.
+    #[must_use]
+    pub fn unverified(&self) -> Vec<Flow> {
+        let unverified = self.flows.iter().filter(|(flow, connection)| {
+            connection.unverified && !connection.is_closed() && flow.protocol == Protocol::Tcp
+        });
+        unverified.map(|(flow, _)| *flow).collect()
+    }
+
     /// Open TCP flows of which one end was silent for `silence` and that were not probed within
     /// `interval`, with the probes sent so far.
     #[must_use]
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -183,15 +183,33 @@
                 info!(self.events.logger(), "silent flow given up"; "flow" => %flow);
                 self.metrics.count("silent");
                 self.give_up(&flow);
-            } else if let Some(probe) = self.table.probe(&flow, now) {
-                if let Some(upstream) = probe.upstream {
-                    self.send_to_upstream(&upstream.encode());
-                }
-                if let Some(caller) = probe.caller {
-                    self.send_to_fabric(&caller.encode());
-                }
+            } else {
+                self.probe(&flow, now);
             }
         }
+        self.verify_adopted(now);
+    }
+
+    /// Probes adopted flows, since the upstream may have finished some of them meanwhile.
+    pub(super) fn verify_adopted(&mut self, now: Instant) {
+        if !self.may_act(now) {
+            return;
+        }
+        for flow in self.table.unverified() {
+            self.probe(&flow, now);
+        }
+    }
+
+    fn probe(&mut self, flow: &Flow, now: Instant) {
+        let Some(probe) = self.table.probe(flow, now) else {
+            return;
+        };
+        if let Some(upstream) = probe.upstream {
+            self.send_to_upstream(&upstream.encode());
+        }
+        if let Some(caller) = probe.caller {
+            self.send_to_fabric(&caller.encode());
+        }
     }
 
     /// TCP flows whose upstream has not answered the first packet in time.
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -216,6 +216,7 @@
             self.is_fresh = false;
             info!(self.events.logger(), "flows taken over"; "flows" => self.table.len());
             self.report_adopted();
+            self.verify_adopted(Instant::now());
         }
         for (forward, from) in std::mem::take(&mut self.held) {
             self.forwarded(forward, from);
--- /dev/null
+++ b/crates/hyssopdyked/tests/flows.rs
@@ -0,0 +1,218 @@
+//! Established flows survive planned changes, and no upstream gets more than it bears.
+
+mod support;
+
+use std::time::Duration;
+
+use hyssopdyke_wire::resource::State;
+use standin::{Behavior, Faults, Layout, ServiceLayout, Tally};
+use support::{Bench, PATIENCE, wait};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn whole(count: usize) -> Tally {
+    Tally { whole: count, ..Tally::default() }
+}
+
+#[test]
+fn flows_entrieschange() {
+    let mut bench = Bench::single("flows_entrieschange", 3);
+    bench.streams(30, 6 * SECOND);
+    bench.wait_established(30);
+    bench.requests(20, Duration::from_millis(20));
+    bench.cluster.process("entry-1").unwrap().kill().unwrap();
+    bench.cluster.spray_only(&[1]);
+    bench.requests(20, Duration::from_millis(20));
+    bench.cluster.add_entry(2).unwrap();
+    bench.cluster.spray_only(&[1, 2]);
+    bench.cluster.process("entry-2").unwrap().terminate().unwrap();
+    bench.cluster.spray_only(&[2]);
+    bench.requests(20, Duration::from_millis(20));
+    bench.cluster.respawn("entry-1").unwrap();
+    bench.cluster.spray_only(&[0, 2]);
+    bench.requests(20, Duration::from_millis(20));
+    assert_eq!(bench.finish(), whole(110));
+    bench.assert_sound();
+}
+
+#[test]
+fn flows_agentrestarts() {
+    let mut bench = Bench::single("flows_agentrestarts", 3);
+    bench.streams(30, 8 * SECOND);
+    bench.wait_established(30);
+    for name in ["dispatch-1", "dispatch-2", "dispatch-3"] {
+        bench.requests(10, Duration::from_millis(20));
+        let process = bench.cluster.process(name).unwrap();
+        process.terminate().unwrap();
+        let status = process.wait(PATIENCE).unwrap().unwrap();
+        assert_eq!(status.code(), Some(0), "{name}");
+        bench.cluster.respawn(name).unwrap();
+        bench.cluster.wait_in_force(PATIENCE).unwrap();
+        let taken = || bench.events(name, "flows taken over") == 2;
+        wait("flows are taken over", taken);
+    }
+    bench.requests(10, Duration::from_millis(20));
+    let tally = bench.finish();
+    assert_eq!((tally.broken, tally.unanswered, tally.wrong), (0, 0, 0), "{tally:?}");
+    assert_eq!(tally, whole(70));
+    bench.assert_sound();
+}
+
+#[test]
+fn flows_agentskilled() {
+    let mut bench = Bench::single("flows_agentskilled", 3);
+    bench.streams(30, 8 * SECOND);
+    bench.wait_established(30);
+    // The holders' reports follow the admission by a tick.
+    std::thread::sleep(SECOND);
+    for name in ["dispatch-2", "dispatch-1"] {
+        bench.cluster.process(name).unwrap().kill().unwrap();
+        bench.cluster.respawn(name).unwrap();
+        let taken = || bench.events(name, "flows taken over") == 2;
+        wait("flows are taken over", taken);
+    }
+    let tally = bench.finish();
+    assert_eq!(tally, whole(30));
+    bench.assert_sound();
+}
+
+#[test]
+fn flows_upstreamdrains() {
+    let mut bench = Bench::single("flows_upstreamdrains", 3);
+    bench.streams(30, 4 * SECOND);
+    bench.wait_established(30);
+    bench.requests(20, Duration::from_millis(10));
+    bench.set_state("dispatch-1", State::Draining);
+    let before = bench.runs("dispatch-1");
+    bench.requests(60, Duration::from_millis(10));
+    assert_eq!(bench.finish(), whole(110));
+    assert_eq!(bench.runs("dispatch-1"), before, "new work for a draining upstream");
+    // An agent that restarts still drains.
+    bench.cluster.process("dispatch-1").unwrap().kill().unwrap();
+    bench.cluster.respawn("dispatch-1").unwrap();
+    wait("flows are taken over", || bench.events("dispatch-1", "flows taken over") == 2);
+    bench.requests(30, Duration::from_millis(10));
+    bench.finish();
+    assert_eq!(bench.runs("dispatch-1"), before, "new work after a restart");
+    bench.set_state("dispatch-1", State::Active);
+    bench.requests(60, Duration::from_millis(10));
+    assert_eq!(bench.finish(), whole(200));
+    assert!(bench.runs("dispatch-1") > before, "no work after draining ended");
+    bench.assert_sound();
+}
+
+#[test]
+fn flows_copiesandloss() {
+    let services = vec![ServiceLayout::new("dispatch", 3)];
+    let layout = Layout { services, ..Layout::default() };
+    let mut bench = Bench::verbose("flows_copiesandloss", layout);
+    bench.cluster.fabric().set_faults(Faults { loss: 0.02, duplicates: 0.3 });
+    bench.streams(10, 3 * SECOND);
+    bench.requests(150, Duration::from_millis(10));
+    let tally = bench.finish();
+    assert_eq!((tally.broken, tally.wrong), (0, 0), "{:?}", bench.callers.outcomes());
+    assert_eq!(tally.whole + tally.refused, 160, "{tally:?}");
+    bench.assert_sound();
+}
+
+#[test]
+fn flows_memberschangewithcopies() {
+    let mut bench = Bench::single("flows_memberschangewithcopies", 4);
+    bench.cluster.fabric().set_faults(Faults { loss: 0.0, duplicates: 0.5 });
+    for round in 0..3 {
+        bench.requests(25, Duration::from_millis(8));
+        let name = format!("dispatch-{}", 1 + round % 2);
+        bench.cluster.process(&name).unwrap().terminate().unwrap();
+        bench.requests(25, Duration::from_millis(8));
+        bench.cluster.process(&name).unwrap().wait(PATIENCE).unwrap();
+        bench.cluster.respawn(&name).unwrap();
+        bench.requests(25, Duration::from_millis(8));
+    }
+    let tally = bench.finish();
+    assert_eq!((tally.broken, tally.wrong, tally.unanswered), (0, 0, 0), "{tally:?}");
+    bench.assert_sound();
+}
+
+/// A layout whose upstreams bear two requests while they are cold, and fall over under more.
+fn cold_layout(warming_requests: u32) -> Layout {
+    let behavior = Behavior {
+        service_time: Duration::from_millis(40),
+        slots: 5,
+        cold_slots: 2,
+        warming_requests,
+        ..Behavior::default()
+    };
+    let service = ServiceLayout {
+        slots: 5,
+        cold_slots: 2,
+        upstreams: vec![behavior; 3],
+        ..ServiceLayout::new("dispatch", 3)
+    };
+    Layout { services: vec![service], ..Layout::default() }
+}
+
+#[test]
+fn limits_overload() {
+    let mut bench = Bench::start("limits_overload", cold_layout(0));
+    bench.requests(400, Duration::from_millis(1));
+    let tally = bench.finish();
+    assert_eq!((tally.broken, tally.wrong, tally.unanswered), (0, 0, 0), "{tally:?}");
+    assert!(tally.refused > 0, "no overload: {tally:?}");
+    for (name, truth) in bench.cluster.truths() {
+        assert!(truth.most_running <= 5, "{name} ran {}", truth.most_running);
+        assert_eq!(truth.falls, 0, "{name}");
+    }
+    bench.assert_sound();
+}
+
+#[test]
+fn limits_coldstart() {
+    let mut bench = Bench::start("limits_coldstart", cold_layout(6));
+    bench.requests(300, Duration::from_millis(2));
+    bench.finish();
+    for (name, truth) in bench.cluster.truths() {
+        assert_eq!(truth.falls, 0, "{name} fell over");
+        assert!(truth.most_running > 2, "{name} never ran more than {}", truth.most_running);
+    }
+    bench.assert_sound();
+}
+
+#[test]
+fn ejection_failingupstream() {
+    let mut layout = cold_layout(0);
+    layout.services[0].upstreams[0].fails = true;
+    let mut bench = Bench::start("ejection_failingupstream", layout);
+    bench.requests(200, Duration::from_millis(15));
+    let tally = bench.finish();
+    wait("the upstream is ejected", || bench.events("dispatch-1", "upstream ejected") > 0);
+    // Before it is ejected, five requests fail; each later trial of it costs as many.
+    assert!(tally.broken < 40, "{tally:?}");
+    for name in ["dispatch-2", "dispatch-3"] {
+        assert_eq!(bench.events(name, "upstream ejected"), 0);
+    }
+    bench.assert_sound();
+}
+
+#[test]
+fn silence_lostpath() {
+    let mut layout = cold_layout(0);
+    layout.agent_settings = "probe_after = 1s".into();
+    let mut bench = Bench::start("silence_lostpath", layout);
+    // A stream whose caller only listens, and one whose path is lost.
+    bench.streams(2, 40 * SECOND);
+    bench.wait_established(2);
+    let lost = bench.callers.established().into_values().min().unwrap();
+    bench.cluster.fabric().lose(lost);
+    let given_up = || {
+        ["dispatch-1", "dispatch-2", "dispatch-3"]
+            .iter()
+            .map(|name| bench.events(name, "silent flow given up"))
+            .sum::<usize>()
+    };
+    wait("the lost flow is given up", || given_up() == 1);
+    wait("the upstream is relieved", || {
+        let truths = bench.cluster.truths();
+        truths.values().map(|truth| truth.connections).sum::<usize>() == 1
+    });
+    assert_eq!(bench.callers.outcomes().len(), 0, "the live stream has ended");
+}
