feat(hyssopctl): operators' command line and the time line

apply, get, delete, watch, wait, drain, resume, domain out/in, members, status, timeline (text and one HTML page), completion; documented exit codes.

Also: a stand-in upstream gave a copied SYN to a listening socket and so opened a second connection between the same ends, which reset the caller's (seen once in 15 runs of the flows tests under load, flows_memberschangewithcopies, 1 of 225 broken).

--- /dev/null
+++ b/crates/hyssopctl/src/output.rs
@@ -0,0 +1,127 @@
+//! Tables and sentences for people, JSON for programs.
+
+use eyre::Result;
+use hyssopctl::Members;
+use hyssopdyke_wire::resource::{Kind, Resource, State, Status, resource::Body};
+use serde::Serialize;
+
+/// Prints one JSON document.
+pub(crate) fn json<T: Serialize>(value: &T) -> Result<()> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
+}
+
+/// Prints resources, one a line.
+pub(crate) fn resources(resources: &[Resource], is_json: bool) -> Result<()> {
+    if is_json {
+        return json(&resources);
+    }
+    for resource in resources {
+        println!("{:<20} {:>8}  {}", resource.name, resource.revision, describe(resource));
+    }
+    Ok(())
+}
+
+fn describe(resource: &Resource) -> String {
+    match &resource.body {
+        Some(Body::Service(service)) => {
+            let listeners = service.listeners.iter().map(|listener| {
+                let (protocol, class) = (listener.protocol(), listener.class());
+                let protocol = protocol.as_str_name().trim_start_matches("PROTOCOL_");
+                let class = class.as_str_name().trim_start_matches("CLASS_");
+                format!("{}:{}/{protocol}/{class}", listener.address, listener.port)
+            });
+            let listeners = listeners.collect::<Vec<_>>().join(", ").to_lowercase();
+            format!(
+                "{listeners}, {} connections, {} slots, {} cold",
+                service.connections, service.slots, service.cold_slots
+            )
+        }
+        Some(Body::Domain(domain)) => if domain.out { "out" } else { "in" }.to_owned(),
+        Some(Body::Upstream(upstream)) => {
+            let state = if upstream.state() == State::Draining { "draining" } else { "active" };
+            let address = if upstream.boot == 0 { "away" } else { &upstream.address };
+            format!("{} in {}, {state}, {address}", upstream.service, upstream.domain)
+        }
+        Some(Body::Entry(entry)) => format!("in {}, {}", entry.domain, entry.address),
+        Some(Body::Deleted(kind)) => {
+            let kind = Kind::try_from(*kind).unwrap_or_default();
+            format!("removed ({})", kind.as_str_name().trim_start_matches("KIND_").to_lowercase())
+        }
+        None => String::new(),
+    }
+}
+
+/// Prints the control VMs.
+pub(crate) fn members(members: &Members, is_json: bool) -> Result<()> {
+    if is_json {
+        return json(members);
+    }
+    for voter in &members.voters {
+        let is_leader = members.leader.as_deref() == Some(&*voter.name);
+        println!(
+            "{:<20} {:<22} {}",
+            voter.name,
+            voter.address,
+            if is_leader { "leads" } else { "" }
+        );
+    }
+    Ok(())
+}
+
+/// Sentences on the state of the system, what is wrong first.
+pub(crate) fn summary(
+    status: &Status,
+    members: &Members,
+    domains: &[Resource],
+    upstreams: &[Resource],
+) -> Vec<String> {
+    let mut lines = Vec::new();
+    for daemon in status.daemons.iter().filter(|daemon| daemon.revision < status.revision) {
+        lines.push(format!(
+            "{} is behind: it acts by revision {} of {}.",
+            daemon.name, daemon.revision, status.revision
+        ));
+    }
+    for daemon in &status.daemons {
+        if daemon.usage.is_some_and(|usage| usage.ejected) {
+            lines.push(format!("{} is ejected: flows through its upstream fail.", daemon.name));
+        }
+    }
+    for domain in domains {
+        if matches!(&domain.body, Some(Body::Domain(body)) if body.out) {
+            lines.push(format!("Failure domain {} is out.", domain.name));
+        }
+    }
+    for upstream in upstreams {
+        let Some(Body::Upstream(body)) = &upstream.body else { continue };
+        if body.state() != State::Draining {
+            continue;
+        }
+        let daemon = status.daemons.iter().find(|daemon| daemon.name == upstream.name);
+        let left = daemon.and_then(|daemon| daemon.usage).map_or(0, |usage| usage.connections);
+        lines.push(format!("{} drains; {left} flows are left.", upstream.name));
+    }
+    if members.voters.len() == 1 {
+        lines.push("Control has a single VM: if it is lost, so is the configuration.".to_owned());
+    }
+    if status.in_force == status.revision {
+        lines.push(format!(
+            "Revision {} is in force at {} daemons.",
+            status.revision,
+            status.daemons.len()
+        ));
+    } else {
+        lines.push(format!(
+            "Revision {} is accepted; {} is in force.",
+            status.revision, status.in_force
+        ));
+    }
+    let leader = members.leader.as_deref().unwrap_or("nobody");
+    lines.push(format!("{leader} leads {} control VMs.", members.voters.len()));
+    lines
+}
+
+#[cfg(test)]
+#[path = "output_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/hyssopctl/src/output_tests.rs
@@ -0,0 +1,49 @@
+use hyssopctl::{Members, Voter};
+use hyssopdyke_wire::resource::{
+    Acknowledgement, Domain, Resource, State, Status, Upstream, Usage, resource::Body,
+};
+
+use super::summary;
+
+fn daemon(name: &str, revision: u64, usage: Usage) -> Acknowledgement {
+    Acknowledgement { name: name.into(), kind: 3, revision, usage: Some(usage) }
+}
+
+fn members(count: usize) -> Members {
+    let voter = |n| Voter { name: format!("c{n}").into(), address: "127.0.0.1:1".into() };
+    Members { leader: Some("c0".into()), term: 1, voters: (0..count).map(voter).collect() }
+}
+
+#[test]
+fn summary_sound() {
+    let status =
+        Status { revision: 4, in_force: 4, daemons: vec![daemon("a", 4, Usage::default())] };
+    assert_eq!(
+        summary(&status, &members(3), &[], &[]),
+        ["Revision 4 is in force at 1 daemons.", "c0 leads 3 control VMs.",]
+    );
+}
+
+#[test]
+fn summary_troubles() {
+    let ejected = Usage { ejected: true, connections: 9, ..Usage::default() };
+    let daemons = vec![daemon("a", 3, Usage::default()), daemon("b", 4, ejected)];
+    let status = Status { revision: 4, in_force: 3, daemons };
+    let domain = Body::Domain(Domain { out: true });
+    let domain = Resource { name: "d".into(), body: Some(domain), ..Resource::default() };
+    let state = State::Draining as i32;
+    let upstream = Body::Upstream(Upstream { state, ..Upstream::default() });
+    let upstream = Resource { name: "b".into(), body: Some(upstream), ..Resource::default() };
+    assert_eq!(
+        summary(&status, &members(1), &[domain], &[upstream]),
+        [
+            "a is behind: it acts by revision 3 of 4.",
+            "b is ejected: flows through its upstream fail.",
+            "Failure domain d is out.",
+            "b drains; 9 flows are left.",
+            "Control has a single VM: if it is lost, so is the configuration.",
+            "Revision 4 is accepted; 3 is in force.",
+            "c0 leads 1 control VMs.",
+        ]
+    );
+}
--- /dev/null
+++ b/crates/hyssopctl/src/timeline/mod.rs
@@ -0,0 +1,93 @@
+//! One time line of the events of all processes.
+
+mod event;
+mod order;
+mod page;
+
+use std::io::Write;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Result, WrapErr};
+
+use event::{Event, Filter};
+
+pub(crate) fn command() -> Command {
+    let text = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
+    Command::new("timeline")
+        .about("Merge the JSON logs of all processes into one time line")
+        .arg(
+            Arg::new("log")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs with [log] form = json"),
+        )
+        .arg(text("flow", "Only events of a flow, or of all whose name contains this"))
+        .arg(text("service", "Only events of flows of a service's address, or that name it"))
+        .arg(text("vm", "Only events of this VM"))
+        .arg(text("event", "Only events whose name contains this"))
+        .arg(
+            text("from", "Only events after this time, in ms from the first event")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            text("until", "Only events before this time, in ms from the first event")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("html")
+                .long("html")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write a page for a browser in place of text"),
+        )
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
+    let mut events = Vec::new();
+    let mut skipped = 0;
+    for path in matches.get_many::<PathBuf>("log").unwrap_or_default() {
+        let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+        for line in text.lines() {
+            match serde_json::from_str::<Event>(line) {
+                Ok(event) => events.push(event),
+                Err(_) => skipped += 1,
+            }
+        }
+    }
+    order::arrange(&mut events);
+    let start = events.first().map_or(0, |event| event.wall_us);
+    let filter = Filter::new(matches);
+    events.retain(|event| filter.admits(event, start));
+    if skipped > 0 {
+        eprintln!("{skipped} lines are no events and were left out");
+    }
+    match matches.get_one::<PathBuf>("html") {
+        Some(path) => {
+            let page = page::render(&events, start);
+            std::fs::write(path, page).wrap_err_with(|| path.display().to_string())
+        }
+        None => print(&events, start),
+    }
+}
+
+fn print(events: &[Event], start: u64) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    for event in events {
+        let millis = (event.wall_us - start) as f64 / 1000.0;
+        writeln!(
+            out,
+            "{millis:>12.3} {:<16} r{:<6} {} {}",
+            event.vm,
+            event.revision,
+            event.event,
+            event.details()
+        )?;
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/hyssopctl/tests/declaration.rs
@@ -0,0 +1,64 @@
+//! Resource files.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+
+use hyssopctl::{Declaration, DeclarationError};
+
+fn faults(text: &str) -> Vec<String> {
+    match Declaration::parse(Path::new("r.ini"), text) {
+        Ok(_) => Vec::new(),
+        Err(DeclarationError::Faults { faults, .. }) => {
+            faults.iter().map(ToString::to_string).collect()
+        }
+        Err(other) => panic!("{other}"),
+    }
+}
+
+#[test]
+fn open_examples() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for site in ["vatuwai", "sabar"] {
+        let declaration = Declaration::open(&examples.join(site).join("resources.ini")).unwrap();
+        assert_eq!(declaration.resources.len(), 5, "{site}");
+    }
+}
+
+#[test]
+fn parse_faults() {
+    let service = "[service s]\nlisten = 10.0.0.1:80/tcp/stream\nconnections = 1\nslots = 1\n";
+    let cases: [(String, &[&str]); 7] = [
+        (format!("{service}cold_slots = 1\n"), &[]),
+        (service.into(), &["[service s] cold_slots: missing"]),
+        (
+            format!("{service}cold_slots = many\n"),
+            &["[service s] cold_slots: \"many\" is not a whole number"],
+        ),
+        (format!("{service}cold_slots = 1\ncolour = red\n"), &["[service s] colour: unknown key"]),
+        (format!("{service}cold_slots = 1\nslots = 2\n"), &["[service s] slots: key stands twice"]),
+        ("[domain d]\nstate = away\n".into(), &["[domain d] state: \"away\" is not in or out"]),
+        (
+            "[router r]\n".into(),
+            &["[router r]: unknown section; [service NAME] or [domain NAME] is expected"],
+        ),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(faults(&text), expected, "{text}");
+    }
+}
+
+#[test]
+fn parse_listener() {
+    let wrong =
+        ["10.0.0.1/tcp/stream", "10.0.0.1:80/tcp", "x:80/tcp/stream", "10.0.0.1:0/tcp/stream"];
+    for listen in wrong {
+        let text =
+            format!("[service s]\nlisten = {listen}\nconnections = 1\nslots = 1\ncold_slots = 1\n");
+        let expected = format!(
+            "[service s] listen: \"{listen}\" is not address:port/protocol/class with tcp or udp, \
+             and stream or request"
+        );
+        assert_eq!(faults(&text), [expected]);
+    }
+}
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -47,7 +47,7 @@
     };
     info!(events.logger(), "agent started"; "service" => &*role.service,
         "answers" => %answers.local_addr()?, "peers" => %link.local_addr()?);
-    let mut session = Session::spawn(&common.cluster, announcement, events.logger().clone());
+    let mut session = Session::spawn(&common.cluster, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("agent", &common)?;
     let sockets = Sockets { link, answers };
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -45,7 +45,7 @@
     };
     info!(events.logger(), "entry started";
         "fabric" => %fabric.local_addr()?, "peers" => %link.local_addr()?);
-    let session = Session::spawn(&common.cluster, announcement, events.logger().clone());
+    let session = Session::spawn(&common.cluster, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("entry", &common)?;
     let mut worker =
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -3,8 +3,7 @@
 //! Each event carries the process's role, VM and failure domain, the revision that it acts by,
 //! and both a wall-clock and a monotonic time.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Instant, SystemTime};
 
 use slog::{Drain, FnValue, Level, Logger, o};
@@ -17,37 +16,38 @@
 /// A handle for writing events.
 #[derive(Clone)]
 pub(crate) struct Events {
-    logger: Logger,
-    revision: Arc<AtomicU64>,
+    root: Logger,
+    /// The root with the revision that events carry now. Values that are worked out when an event
+    /// is written would show the revision of that time.
+    current: Arc<RwLock<Logger>>,
 }
 
 impl Events {
     /// Opens the log of a process on standard error.
     pub(crate) fn open(role: &'static str, common: &Common) -> Self {
         let (level, form) = (common.log.level, common.log.form);
-        let revision = Arc::new(AtomicU64::new(0));
-        let shown = Arc::clone(&revision);
-        let logger = Logger::root(
+        let root = Logger::root(
             drain(level, form),
             o!(
                 "process" => role,
                 "vm" => common.vm.name.to_string(),
                 "domain" => common.vm.domain.to_string(),
                 "pid" => std::process::id(),
-                "revision" => FnValue(move |_| shown.load(Ordering::Relaxed)),
             ),
         );
-        Self { logger, revision }
+        let current = Arc::new(RwLock::new(root.new(o!("revision" => 0))));
+        Self { root, current }
     }
 
     /// The logger, for slog's macros.
-    pub(crate) const fn logger(&self) -> &Logger {
-        &self.logger
+    pub(crate) fn logger(&self) -> Logger {
+        self.current.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Sets the revision that events carry from now on.
     pub(crate) fn set_revision(&self, revision: u64) {
-        self.revision.store(revision, Ordering::Relaxed);
+        let logger = self.root.new(o!("revision" => revision));
+        *self.current.write().unwrap_or_else(PoisonError::into_inner) = logger;
     }
 }
 
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -8,13 +8,14 @@
 use hyssopdyke_wire::resource::{Page, Usage};
 use hyssopdyke_wire::session::{Frame, Hello, Leave, Renew, frame, hello};
 use hyssopdyke_wire::{Codec, Error, Key, Purpose};
-use slog::{Logger, info, warn};
+use slog::{info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, timeout};
 use tokio_util::codec::Framed;
 
+use crate::log::Events;
 use crate::settings::Cluster;
 
 /// Time between two renewals.
@@ -62,7 +63,7 @@
 
 impl Session {
     /// Starts a session.
-    pub(crate) fn spawn(cluster: &Cluster, announcement: Announcement, log: Logger) -> Self {
+    pub(crate) fn spawn(cluster: &Cluster, announcement: Announcement, events: Events) -> Self {
         let (sender, updates) = mpsc::channel(QUEUE);
         let (report, reports) = watch::channel(Report::default());
         let (stop, stopped) = watch::channel(false);
@@ -73,7 +74,7 @@
             updates: sender,
             reports,
             stopped,
-            log,
+            events,
         };
         Self { updates, report, stop, task: tokio::spawn(client.run()) }
     }
@@ -107,7 +108,7 @@
     updates: mpsc::Sender<Update>,
     reports: watch::Receiver<Report>,
     stopped: watch::Receiver<bool>,
-    log: Logger,
+    events: Events,
 }
 
 /// Why a session ended.
@@ -139,11 +140,11 @@
             match self.hold(address).await {
                 End::Stopped => return,
                 end @ (End::Unreachable | End::Connect(_) | End::Refused(_)) => {
-                    slog::debug!(self.log, "no session with control";
+                    slog::debug!(self.events.logger(), "no session with control";
                         "control" => %address, "reason" => %end);
                 }
                 end => {
-                    warn!(self.log, "session with control lost";
+                    warn!(self.events.logger(), "session with control lost";
                         "control" => %address, "reason" => %end);
                 }
             }
@@ -210,7 +211,7 @@
                     match frame.body {
                         Some(frame::Body::Granted(granted)) => {
                             if granted.sequence == 1 {
-                                info!(self.log, "lease granted"; "control" => %address);
+                                info!(self.events.logger(), "lease granted"; "control" => %address);
                             }
                             let length = Duration::from_millis(granted.lease_ms.into());
                             while let Some((number, sent)) = open.pop_front() {
--- a/crates/hyssopdyked/tests/flows.rs
+++ b/crates/hyssopdyked/tests/flows.rs
@@ -105,8 +105,8 @@
 fn flows_copiesandloss() {
     let services = vec![ServiceLayout::new("dispatch", 3)];
     let layout = Layout { services, ..Layout::default() };
-    let mut bench = Bench::verbose("flows_copiesandloss", layout);
-    bench.cluster.fabric().set_faults(Faults { loss: 0.02, duplicates: 0.3 });
+    let mut bench = Bench::start("flows_copiesandloss", layout);
+    bench.cluster.fabric().set_faults(Faults { loss: 0.02, duplicates: 0.9 });
     bench.streams(10, 3 * SECOND);
     bench.requests(150, Duration::from_millis(10));
     let tally = bench.finish();
--- a/crates/hyssopdyked/tests/support/mod.rs
+++ b/crates/hyssopdyked/tests/support/mod.rs
@@ -26,8 +26,10 @@
 impl Bench {
     /// Starts a system whose files are kept under the test's name.
     pub fn start(name: &str, layout: Layout) -> Self {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let run = format!("{name}-{}", std::process::id());
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(run);
         let _ = std::fs::remove_dir_all(&folder);
+        let layout = Layout { log_level: "debug".into(), ..layout };
         let binary = Path::new(env!("CARGO_BIN_EXE_hyssopdyked"));
         let cluster = Cluster::start(binary, &folder, layout).unwrap();
         let callers = cluster.callers(1).unwrap();
@@ -66,7 +68,11 @@
 
     /// Waits until this many flows are established.
     pub fn wait_established(&self, count: usize) {
-        wait("flows are established", || self.callers.established().len() >= count);
+        wait("flows are established", || {
+            let ended = self.callers.outcomes();
+            assert!(ended.len() + count < self.next as usize, "ended early: {ended:?}");
+            self.callers.established().len() >= count
+        });
     }
 
     /// Waits for the end of all flows.
@@ -121,11 +127,6 @@
         self.cluster.upstream(name).unwrap().truth().runs.len()
     }
 
-    /// Starts a system that logs each flow.
-    pub fn verbose(name: &str, layout: Layout) -> Self {
-        Self::start(name, Layout { log_level: "debug".into(), ..layout })
-    }
-
     /// Events of a VM's process with this message.
     pub fn events(&self, vm: &str, event: &str) -> usize {
         let log = std::fs::read_to_string(self.cluster.folder().join(format!("{vm}.log")));
@@ -134,6 +135,15 @@
     }
 }
 
+impl Drop for Bench {
+    fn drop(&mut self) {
+        // The files of a failed test are kept for reading.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(self.cluster.folder());
+        }
+    }
+}
+
 /// Waits until something holds.
 pub fn wait(what: &str, holds: impl Fn() -> bool) {
     let start = Instant::now();
--- a/crates/standin/src/stack.rs
+++ b/crates/standin/src/stack.rs
@@ -1,6 +1,6 @@
 //! A user-space TCP/IP stack whose packets travel in UDP.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
@@ -117,6 +117,14 @@
         socket.connect(self.interface.context(), to, from_port).is_ok()
     }
 
+    /// The other ends of all TCP sockets.
+    pub(crate) fn remote_ends(&self) -> HashSet<SocketAddr> {
+        let ends = self.sockets.iter().filter_map(|(_, socket)| match socket {
+            smoltcp::socket::Socket::Tcp(socket) => socket.remote_endpoint(),
+        });
+        ends.map(|end| SocketAddr::new(end.addr.into(), end.port)).collect()
+    }
+
     /// Waits for packets for at most `wait`, and hands them to the stack.
     ///
     /// `inspect` sees each packet first and may drop it.
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -212,14 +212,21 @@
             let service = self.service;
             let is_fallen = self.fallen_until.is_some_and(|until| Instant::now() < until);
             let shared = Arc::clone(&self.shared);
+            let known = self.stack.remote_ends();
             let received = self.stack.receive(WAIT, |bytes| {
+                let parsed = Packet::parse(bytes);
                 let mut truth = shared.truth();
                 truth.packets += 1;
                 truth.last_packet = Some(Instant::now());
-                let destination = Packet::parse(bytes).map(|packet| packet.destination.ip());
-                let is_foreign = destination.is_ok_and(|address| address != service);
+                let is_foreign = parsed.is_ok_and(|packet| packet.destination.ip() != service);
                 truth.foreign += u64::from(is_foreign);
-                !is_fallen
+                // The stack would give a copy of a SYN to a socket that listens, and so open a
+                // second connection between the same ends.
+                let is_copy = parsed.is_ok_and(|packet| {
+                    packet.segment.is_some_and(|segment| segment.opens())
+                        && known.contains(&packet.source)
+                });
+                !is_fallen && !is_copy
             });
             if received.is_err() {
                 return;
