--- a/crates/hyssopctl/src/client.rs
+++ b/crates/hyssopctl/src/client.rs
@@ -24,7 +24,8 @@
 const PATIENCE: Duration = Duration::from_secs(15);
 
 /// Why a request failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// No control VM could be reached, or none leads.
     #[error("no control VM answers: {0}")]
@@ -62,7 +63,8 @@
 }
 
 /// A control VM with the address of its replica port.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Voter {
     /// Name of the VM.
     pub name: Box<str>,
@@ -71,7 +73,8 @@
 }
 
 /// The control VMs that vote, and who leads them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Members {
     /// Name of the leader.
     pub leader: Option<Box<str>>,
--- a/crates/hyssopctl/src/declaration.rs
+++ b/crates/hyssopctl/src/declaration.rs
@@ -22,7 +22,8 @@
 use ini::{Ini, Properties};
 
 /// What is wrong with one section or key.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Cause {
     /// The section is neither a service nor a domain.
     #[error("unknown section; [service NAME] or [domain NAME] is expected")]
@@ -70,7 +71,8 @@
 }
 
 /// Why a file cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The file cannot be read.
     #[error("{path}: {source}")]
--- a/crates/hyssopctl/src/timeline/event.rs
+++ b/crates/hyssopctl/src/timeline/event.rs
@@ -7,7 +7,9 @@
 use serde_json::Value;
 
 /// One line of a log.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
+#[allow(clippy::struct_field_names, reason = "the names are the log's keys")]
 pub(crate) struct Event {
     pub(crate) process: Box<str>,
     pub(crate) vm: Box<str>,
--- a/crates/hyssopdyke-wire/src/key.rs
+++ b/crates/hyssopdyke-wire/src/key.rs
@@ -30,7 +30,8 @@
 }
 
 /// Why received bytes are not a message of a peer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// Fewer bytes than a tag.
     #[error("{0} bytes are too few for a sealed message")]
--- a/crates/hyssopdyke/src/connection/flow.rs
+++ b/crates/hyssopdyke/src/connection/flow.rs
@@ -17,7 +17,8 @@
 }
 
 /// Why a message does not name a flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The flow is missing from the message.
     #[error("no flow in the message")]
--- a/crates/hyssopdyke/src/process/journal.rs
+++ b/crates/hyssopdyke/src/process/journal.rs
@@ -27,7 +27,8 @@
 const END_MARK: u8 = 0xff;
 
 /// Why a journal cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// A file operation failed.
     #[error("{file}: {source}")]
--- a/crates/hyssopdyke/src/request/packet.rs
+++ b/crates/hyssopdyke/src/request/packet.rs
@@ -7,7 +7,8 @@
 use crate::connection::{Flow, Protocol};
 
 /// Why a packet is not forwarded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Refusal {
     /// The bytes are no IP packet, or end before their headers do.
     #[error("malformed or truncated IP packet")]
--- a/crates/hyssopdyke/src/version/replica.rs
+++ b/crates/hyssopdyke/src/version/replica.rs
@@ -5,7 +5,8 @@
 use super::Store;
 
 /// A page starts after the revision that the copy has reached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("page starts after revision {after}, the copy is at {held}")]
 pub struct Gap {
     /// Revision after which the page starts.
--- a/crates/hyssopdyked/src/control/api.rs
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -39,21 +39,24 @@
 }
 
 /// Where a watch starts.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Start {
     #[serde(default)]
     after: u64,
 }
 
 /// A control VM that shall vote.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Member {
     name: Box<str>,
     address: Box<str>,
 }
 
 /// The control VMs that vote, and who leads them.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Members {
     leader: Option<Box<str>>,
     term: u64,
--- a/crates/hyssopdyked/src/control/handle.rs
+++ b/crates/hyssopdyked/src/control/handle.rs
@@ -9,7 +9,8 @@
 use tokio::sync::{RwLock, RwLockReadGuard, mpsc, oneshot, watch};
 
 /// Why a request to the log was not carried out.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(super) enum Error {
     #[error("this control VM does not lead; {}", leader(.0.as_deref()))]
     NotLeader(Option<Box<str>>),
--- a/crates/hyssopdyked/src/control/identity.rs
+++ b/crates/hyssopdyked/src/control/identity.rs
@@ -6,7 +6,8 @@
 const FILE: &str = "identity";
 
 /// The identity file is damaged.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(super) enum Error {
     #[error("identity: {0}")]
     Io(#[from] std::io::Error),
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -37,6 +37,8 @@
 pub(crate) async fn run(settings: Settings<Control>, events: Events, mut stop: Stop) -> Result<()> {
     let Settings { common, role } = settings;
     let key = Key::derive(&common.cluster.passphrase, Purpose::Session);
+    let folder = Folder::open(&role.data)
+        .wrap_err_with(|| format!("[control] data: {}", role.data.display()))?;
     let bind = async |name: &str, port: u16| {
         let address = SocketAddr::new(common.vm.address, port);
         TcpListener::bind(address).await.wrap_err_with(|| format!("[control] {name}: {address}"))
@@ -45,8 +47,6 @@
     let api = bind("api_port", role.api_port).await?;
     let replicas = bind("replica_port", role.replica_port).await?;
 
-    let folder = Folder::open(&role.data)
-        .wrap_err_with(|| format!("[control] data: {}", role.data.display()))?;
     let (journal, identity) = open(folder, &role, &common.vm.name, replicas.local_addr()?)?;
     if journal.cut_bytes() > 0 {
         warn!(events.logger(), "unsynced end of the log cut off"; "bytes" => journal.cut_bytes());
--- a/crates/hyssopdyked/src/control/problem.rs
+++ b/crates/hyssopdyked/src/control/problem.rs
@@ -9,7 +9,8 @@
 use super::validate::Fault;
 
 /// Why an operator's request failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(super) enum Problem {
     #[error("no such resource")]
     NotFound,
--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -27,7 +27,8 @@
 const PAGE_BYTES: usize = 256 << 10;
 
 /// Why a session ended.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum End {
     #[error("{0}")]
     Wire(#[from] WireError),
--- a/crates/hyssopdyked/src/control/validate.rs
+++ b/crates/hyssopdyked/src/control/validate.rs
@@ -6,7 +6,8 @@
 use hyssopdyke_wire::resource::{Class, Kind, Listener, Protocol, Service, resource::Body};
 
 /// What is wrong with a resource.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(super) enum Fault {
     #[error("name {0:?}: must be 1 to 63 letters, digits, '-' or '.'")]
     Name(Box<str>),
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -112,7 +112,8 @@
 }
 
 /// Why a session ended.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum End {
     #[error("no connection within {PATIENCE:?}")]
     Unreachable,
--- a/crates/hyssopdyked/src/settings/fault.rs
+++ b/crates/hyssopdyked/src/settings/fault.rs
@@ -4,7 +4,8 @@
 use std::path::Path;
 
 /// Kind of fault of one section or key.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(crate) enum Cause {
     #[error("unknown section")]
     UnknownSection,
@@ -42,7 +43,8 @@
 }
 
 /// Why settings cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum Error {
     #[error("{path}: {source}")]
     Read { path: Box<Path>, source: std::io::Error },
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -102,7 +102,8 @@
 }
 
 /// Why a system cannot be run.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// A process, socket or file.
     #[error("{0}")]
