feat: callers of a domain that is out are told; ejection holds at the agent

Cause 1: an agent that wakes after its lease in a domain that was taken out must send its upstream nothing, and sent callers nothing either: 3 of 150 callers that only listen waited for their deadline. Callers now get resets. Cause 2: an ejected upstream took requests at its cold limit whenever a home had not heard of the ejection, up to 1 s. The agent now declines, unless most of the service is ejected, and tells the others at once.

--- a/crates/hyssopdyke-wire/src/tests.rs
+++ b/crates/hyssopdyke-wire/src/tests.rs
@@ -52,15 +52,17 @@
 
 #[test]
 fn decode_random() {
-    arbtest::arbtest(|source| {
-        let bytes: Vec<u8> = source.arbitrary()?;
-        let mut codec = Codec::<Datagram>::new(key());
-        let mut buffer = BytesMut::from(&bytes[..]);
-        // Random bytes are never a message: they are incomplete or refused.
-        assert!(!matches!(codec.decode(&mut buffer), Ok(Some(_))));
-        Ok(())
-    })
-    .seed(0x0400_0000_1000_0000);
+    for seed in 1..500_u64 {
+        arbtest::arbtest(|source| {
+            let bytes: Vec<u8> = source.arbitrary()?;
+            let mut codec = Codec::<Datagram>::new(key());
+            let mut buffer = BytesMut::from(&bytes[..]);
+            // Random bytes are never a message: they are incomplete or refused.
+            assert!(!matches!(codec.decode(&mut buffer), Ok(Some(_))));
+            Ok(())
+        })
+        .seed((seed << 32) | 0x100);
+    }
 }
 
 #[test]
--- /dev/null
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -0,0 +1,230 @@
+//! Flow tables, the directory and the cache.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyssopdyke::connection::{Cache, Connection, Directory, Event, Flow, Offer, Protocol, Table};
+use hyssopdyke::request::{Packet, Refusal, Reset, Segment};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn flow(port: u16) -> Flow {
+    Flow {
+        protocol: Protocol::Tcp,
+        caller: ([10, 0, 0, 1], port).into(),
+        service: ([10, 1, 0, 1], 80).into(),
+    }
+}
+
+fn segment(sequence: u32, acknowledgement: Option<u32>, flags: &str, length: u32) -> Segment {
+    Segment {
+        sequence,
+        acknowledgement,
+        syn: flags.contains('S'),
+        fin: flags.contains('F'),
+        rst: flags.contains('R'),
+        length,
+    }
+}
+
+/// A table with one request, established and asked, whose initial numbers are 100 and 500.
+fn asked(start: Instant) -> Table {
+    let mut table = Table::new();
+    table.insert(flow(1), Connection::new(100, start, true));
+    assert!(table.inbound(&flow(1), Some(&segment(100, None, "S", 0)), start));
+    let event = table.outbound(&flow(1), Some(&segment(500, Some(101), "S", 0)), start + SECOND);
+    assert_eq!(event, Some(Some(Event::Opened(SECOND))));
+    table.inbound(&flow(1), Some(&segment(101, Some(501), "", 10)), start + SECOND);
+    table
+}
+
+#[test]
+fn table_requestends() {
+    let start = Instant::now();
+    let mut table = asked(start);
+    assert_eq!((table.connections(), table.slots()), (1, 1));
+    let fin = segment(501, Some(111), "F", 20);
+    let event = table.outbound(&flow(1), Some(&fin), start + 3 * SECOND);
+    assert_eq!(event, Some(Some(Event::Answered(3 * SECOND))));
+    assert_eq!((table.connections(), table.slots()), (1, 0));
+    table.inbound(&flow(1), Some(&segment(111, Some(522), "F", 0)), start + 3 * SECOND);
+    assert_eq!(table.connections(), 1, "the caller's end is not acknowledged yet");
+    table.outbound(&flow(1), Some(&segment(522, Some(112), "", 0)), start + 3 * SECOND);
+    assert_eq!(table.connections(), 0);
+    assert_eq!(table.expired(start + 5 * SECOND, 5 * SECOND, SECOND), []);
+    assert_eq!(table.expired(start + 8 * SECOND, 5 * SECOND, SECOND), [flow(1)]);
+}
+
+#[test]
+fn table_resets() {
+    let start = Instant::now();
+    let mut table = asked(start);
+    let event = table.outbound(&flow(1), Some(&segment(501, None, "R", 0)), start);
+    assert_eq!(event, Some(Some(Event::Failed)));
+    assert_eq!((table.connections(), table.slots()), (0, 0));
+
+    let mut table = asked(start);
+    table.inbound(&flow(1), Some(&segment(9999, None, "R", 0)), start);
+    assert_eq!(table.connections(), 1, "a reset at a wrong number was believed");
+    table.inbound(&flow(1), Some(&segment(111, None, "R", 0)), start);
+    assert_eq!(table.connections(), 0);
+}
+
+#[test]
+fn table_silence() {
+    let start = Instant::now();
+    let mut table = asked(start);
+    let heard = start + SECOND;
+    assert_eq!(table.silent(heard + 9 * SECOND, 10 * SECOND, SECOND), []);
+    let late = heard + 10 * SECOND;
+    for probes in 0..3 {
+        let now = late + SECOND * probes;
+        assert_eq!(table.silent(now, 10 * SECOND, SECOND), [(flow(1), probes)]);
+        let probe = table.probe(&flow(1), now).unwrap();
+        assert_eq!(probe.upstream.map(|p| (p.sequence, p.acknowledgement)), Some((111, 501)));
+        assert_eq!(probe.caller.map(|p| (p.sequence, p.acknowledgement)), Some((501, 111)));
+    }
+    // One end that answers does not excuse the other.
+    let now = late + 5 * SECOND;
+    table.outbound(&flow(1), Some(&segment(501, Some(111), "", 0)), now);
+    assert_eq!(table.silent(now, 10 * SECOND, SECOND), [(flow(1), 3)]);
+    table.inbound(&flow(1), Some(&segment(111, Some(501), "", 0)), now);
+    assert_eq!(table.silent(now, 10 * SECOND, SECOND), []);
+}
+
+#[test]
+fn table_adopted() {
+    let start = Instant::now();
+    let mut table = Table::new();
+    table.insert(flow(1), Connection::adopted(100, start, true));
+    assert_eq!(table.unverified(), [flow(1)]);
+    let probe = table.probe(&flow(1), start).unwrap();
+    assert_eq!(probe.upstream.map(|probe| probe.sequence), Some(101));
+    assert_eq!(probe.caller, None);
+    table.outbound(&flow(1), Some(&segment(0, None, "R", 0)), start);
+    assert_eq!((table.slots(), table.unverified()), (0, vec![]));
+}
+
+#[test]
+fn table_countsmatch() {
+    // Whatever packets come, the counts are those of the flows in the table.
+    for seed in 1..200_u64 {
+        arbtest::arbtest(|source| {
+            let start = Instant::now();
+            let mut table = Table::new();
+            for step in 0..source.int_in_range(1..=120)? {
+                let flow = flow(source.int_in_range(1..=4)?);
+                let now = start + SECOND * step;
+                let flags = source.choose(&["S", "F", "R", "", "SF"])?;
+                let acknowledgement = source.arbitrary::<Option<u8>>()?.map(u32::from);
+                let sequence = u32::from(source.arbitrary::<u8>()?);
+                let segment = segment(sequence, acknowledgement, flags, 3);
+                match source.int_in_range(0..=4)? {
+                    0 => table.insert(flow, Connection::new(1, now, source.arbitrary()?)),
+                    1 => drop(table.remove(&flow)),
+                    2 => drop(table.inbound(&flow, Some(&segment), now)),
+                    3 => drop(table.outbound(&flow, Some(&segment), now)),
+                    _ => table.close(&flow, now),
+                }
+                let open = table.iter().filter(|(_, c)| !c.is_closed()).count();
+                let slots = table.iter().filter(|(_, c)| c.has_slot()).count();
+                let counts = (table.connections() as usize, table.slots() as usize);
+                assert_eq!(counts, (open, slots));
+            }
+            Ok(())
+        })
+        .seed((seed << 32) | 0x800);
+    }
+}
+
+#[test]
+fn directory_secondowner() {
+    let mut directory = Directory::new();
+    assert_eq!(directory.own(flow(1), 7, 100), None);
+    assert_eq!(directory.own(flow(1), 8, 100), Some(7), "the first owner stays");
+    directory.end(&flow(1), 8);
+    assert_eq!(directory.len(), 1, "another's end removed the record");
+    let now = Instant::now();
+    directory.mark_absent(now, |vm| vm != 7);
+    assert_eq!(directory.own(flow(1), 8, 100), None, "an absent owner keeps the flow");
+    directory.mark_absent(now, |vm| vm != 8);
+    directory.expire_absent(now + SECOND, 2 * SECOND);
+    assert_eq!(directory.len(), 1);
+    directory.expire_absent(now + 2 * SECOND, 2 * SECOND);
+    assert!(directory.is_empty());
+}
+
+#[test]
+fn directory_offers() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    let packet = Bytes::from_static(b"x");
+    let offer = Offer { asked: Some(1), declined: vec![], packet, since: now, sent: now };
+    directory.offer(flow(1), offer.clone());
+    assert_eq!(directory.offered(), [flow(1)]);
+    directory.end(&flow(1), 1);
+    assert_eq!(directory.offer_mut(&flow(1)), Some(&mut offer.clone()));
+    directory.own(flow(1), 1, 5);
+    assert_eq!(directory.offered(), []);
+}
+
+#[test]
+fn cache_bounded() {
+    let mut cache = Cache::new(100);
+    for flow in 0..10_000 {
+        cache.insert(flow, 1);
+        assert!(cache.len() <= 101, "{}", cache.len());
+        assert_eq!(cache.owner(0), Some(1), "a line in use was forgotten");
+    }
+    cache.remove(0);
+    assert_eq!(cache.owner(0), None);
+}
+
+fn tcp(flags: fn(etherparse::PacketBuilderStep<etherparse::TcpHeader>) -> Vec<u8>) -> Vec<u8> {
+    let ip = etherparse::PacketBuilder::ipv4([10, 0, 0, 1], [10, 1, 0, 1], 9);
+    flags(ip.tcp(5, 80, 100, 9))
+}
+
+fn written(builder: etherparse::PacketBuilderStep<etherparse::TcpHeader>) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    builder.write(&mut bytes, b"abc").unwrap();
+    bytes
+}
+
+#[test]
+fn parse_roundtrip() {
+    let syn = Packet::parse(&tcp(|builder| written(builder.syn()))).unwrap();
+    assert_eq!(syn.inbound(), flow(5));
+    assert!(syn.segment.unwrap().opens());
+    assert_eq!(syn.segment.unwrap().next(), 104);
+    let reset = Packet::parse(&Reset::answer(&syn).unwrap().encode()).unwrap();
+    assert_eq!(reset.outbound(), flow(5));
+    let segment = reset.segment.unwrap();
+    assert!(segment.rst && segment.acknowledgement == Some(104));
+    let middle = Packet::parse(&tcp(|builder| written(builder.ack(77)))).unwrap();
+    let reset = Packet::parse(&Reset::answer(&middle).unwrap().encode()).unwrap();
+    assert_eq!(reset.segment.map(|s| (s.rst, s.sequence)), Some((true, 77)));
+    assert_eq!(Reset::answer(&reset), None, "a reset was answered by a reset");
+}
+
+#[test]
+fn parse_hostile() {
+    let whole = tcp(|builder| written(builder.syn()));
+    for length in 0..whole.len() {
+        assert_eq!(Packet::parse(&whole[..length]), Err(Refusal::Malformed), "{length} bytes");
+    }
+    let mut fragment = whole.clone();
+    fragment[6] |= 0x20;
+    assert_eq!(Packet::parse(&fragment), Err(Refusal::Fragment));
+    for seed in 1..500_u64 {
+        arbtest::arbtest(|source| {
+            let bytes: Vec<u8> = source.arbitrary()?;
+            // Whatever it is, it is read or refused.
+            let _ = Packet::parse(&bytes);
+            Ok(())
+        })
+        .seed((seed << 32) | 0x100);
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyke/tests/journal.rs
@@ -0,0 +1,192 @@
+//! The journal under failing disks, torn ends and damaged bytes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+use hyssopdyke::process::{Disk, Journal, JournalError};
+use hyssopdyke_wire::ledger::{Command, Entry, Snapshot, Vote, command::Body};
+
+/// Files in memory. Counts bytes that are written and stops like a crashed machine after
+/// `budget` of them: the operation under way leaves a part, and every later one fails.
+#[derive(Debug, Clone)]
+struct Memory {
+    files: Rc<RefCell<BTreeMap<String, Vec<u8>>>>,
+    budget: Rc<RefCell<usize>>,
+}
+
+impl Memory {
+    fn new(budget: usize) -> Self {
+        Self { files: Rc::default(), budget: Rc::new(RefCell::new(budget)) }
+    }
+
+    /// The same files after a restart.
+    fn restarted(&self) -> Self {
+        Self { files: Rc::clone(&self.files), budget: Rc::new(RefCell::new(usize::MAX)) }
+    }
+
+    /// Bytes of `wanted` that are still written.
+    fn spend(&self, wanted: usize) -> usize {
+        let mut budget = self.budget.borrow_mut();
+        let spent = wanted.min(*budget);
+        *budget -= spent;
+        spent
+    }
+}
+
+impl Disk for Memory {
+    fn read(&mut self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        Ok(self.files.borrow().get(name).cloned())
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        if self.spend(bytes.len() + 1) <= bytes.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.files.borrow_mut().insert(name.into(), bytes.into());
+        Ok(())
+    }
+
+    fn write(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let written = self.spend(bytes.len());
+        let mut files = self.files.borrow_mut();
+        let file = files.entry(name.into()).or_default();
+        file.truncate(offset as usize);
+        file.extend(&bytes[..written]);
+        if written == bytes.len() { Ok(()) } else { Err(io::ErrorKind::StorageFull.into()) }
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { index, term, command: Some(Command { body: Some(Body::Barrier(true)) }) }
+}
+
+fn entries(from: u64, to: u64, term: u64) -> Vec<Entry> {
+    (from..=to).map(|index| entry(index, term)).collect()
+}
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    Snapshot { index, term, revision: index, ..Snapshot::default() }
+}
+
+/// Does the same work at any budget, and returns the entries that were acknowledged.
+fn work(disk: Memory) -> Vec<Entry> {
+    let mut acknowledged = Vec::new();
+    let Ok(mut journal) = Journal::open(disk) else { return acknowledged };
+    let vote = Vote { term: 1, candidate: "a".into(), identity: 1 };
+    if journal.store_vote(vote).is_err() {
+        return acknowledged;
+    }
+    for batch in 0..4 {
+        let (first, last) = (batch * 3 + 1, batch * 3 + 3);
+        let batch = entries(first, last, 1);
+        if journal.store_entries(first - 1, batch.clone()).is_err() {
+            return acknowledged;
+        }
+        acknowledged.extend(batch);
+        if last == 9 && journal.store_snapshot(snapshot(5, 1)).is_err() {
+            return acknowledged;
+        }
+    }
+    acknowledged
+}
+
+#[test]
+fn open_afterfailureatanybyte() {
+    let whole = Memory::new(usize::MAX);
+    assert_eq!(work(whole.clone()).len(), 12);
+    let needed: usize = usize::MAX - *whole.budget.borrow();
+    for budget in 0..=needed {
+        let disk = Memory::new(budget);
+        let acknowledged = work(disk.clone());
+        let journal = Journal::open(disk.restarted()).unwrap();
+        for entry in &acknowledged {
+            let is_kept = journal.entry(entry.index) == Some(entry);
+            let is_in_snapshot = entry.index <= journal.snapshot().index;
+            assert!(is_kept || is_in_snapshot, "entry {} is lost at {budget}", entry.index);
+        }
+    }
+}
+
+#[test]
+fn store_afterfailure() {
+    let mut journal = Journal::open(Memory::new(10)).unwrap();
+    let error = journal.store_entries(0, entries(1, 1, 1)).unwrap_err();
+    assert!(matches!(error, JournalError::Io { file: "log", .. }));
+    assert!(matches!(journal.store_entries(0, entries(1, 1, 1)), Err(JournalError::Failed)));
+    assert_eq!(journal.last_index(), 0, "an entry that was not synced counts");
+}
+
+#[test]
+fn open_tornend() {
+    let disk = Memory::new(usize::MAX);
+    Journal::open(disk.clone()).unwrap().store_entries(0, entries(1, 3, 1)).unwrap();
+    let whole = disk.files.borrow()["log"].clone();
+    let record = whole.len() / 3;
+    for cut in 1..record {
+        let torn = disk.restarted();
+        torn.files.borrow_mut().insert("log".into(), whole[..whole.len() - cut].into());
+        let journal = Journal::open(torn).unwrap();
+        assert_eq!(journal.last_index(), 2, "{cut} bytes cut");
+        assert_eq!(journal.cut_bytes(), (record - cut) as u64);
+    }
+    let mut extended = whole.clone();
+    extended.extend([0; 64]);
+    disk.files.borrow_mut().insert("log".into(), extended);
+    let journal = Journal::open(disk).unwrap();
+    assert_eq!((journal.last_index(), journal.cut_bytes()), (3, 64));
+}
+
+#[test]
+fn open_flippedbit() {
+    let disk = Memory::new(usize::MAX);
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    journal.store_vote(Vote { term: 3, candidate: "a".into(), identity: 1 }).unwrap();
+    journal.store_entries(0, entries(1, 3, 1)).unwrap();
+    journal.store_snapshot(snapshot(1, 1)).unwrap();
+    for file in ["log", "vote", "snapshot"] {
+        let whole = disk.files.borrow()[file].clone();
+        for bit in 0..whole.len() * 8 {
+            let mut damaged = whole.clone();
+            damaged[bit / 8] ^= 1 << (bit % 8);
+            disk.files.borrow_mut().insert(file.into(), damaged);
+            let error = Journal::open(disk.restarted()).err();
+            let is_refused =
+                matches!(&error, Some(JournalError::Damaged { file: f, .. }) if *f == file);
+            assert!(is_refused, "{file}, bit {bit}: {error:?}");
+        }
+        disk.files.borrow_mut().insert(file.into(), whole);
+    }
+}
+
+#[test]
+fn store_replacesconflict() {
+    let disk = Memory::new(usize::MAX);
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    journal.store_entries(0, entries(1, 5, 1)).unwrap();
+    journal.store_entries(2, entries(3, 3, 2)).unwrap();
+    let reopened = Journal::open(disk).unwrap();
+    let terms: Vec<_> = reopened.entries().iter().map(|entry| (entry.index, entry.term)).collect();
+    assert_eq!(terms, [(1, 1), (2, 1), (3, 2)]);
+}
+
+#[test]
+fn store_gap() {
+    let mut journal = Journal::open(Memory::new(usize::MAX)).unwrap();
+    let error = journal.store_entries(4, entries(5, 5, 1)).unwrap_err();
+    assert!(matches!(error, JournalError::Sequence { found: 5, expected: 1 }));
+}
+
+#[test]
+fn snapshot_keepsrest() {
+    let disk = Memory::new(usize::MAX);
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    journal.store_entries(0, entries(1, 6, 1)).unwrap();
+    journal.store_snapshot(snapshot(4, 1)).unwrap();
+    let reopened = Journal::open(disk).unwrap();
+    assert_eq!((reopened.last_index(), reopened.entries().len()), (6, 2));
+    assert_eq!((reopened.term(4), reopened.term(3)), (Some(1), None));
+}
--- /dev/null
+++ b/crates/hyssopdyke/tests/process.rs
@@ -0,0 +1,171 @@
+//! Leases, limits, the barrier and the outbox.
+
+use std::time::{Duration, Instant};
+
+use hyssopdyke::process::{Barrier, Lease, Limit, Outbox};
+use hyssopdyke::request::{Candidate, Draw};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+
+#[test]
+fn lease_countsfromsending() {
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    assert!(!lease.is_valid(start));
+    lease.grant(start, 3 * SECOND);
+    lease.grant(start, 3 * SECOND);
+    assert!(lease.is_valid(start + 2999 * MILLI));
+    assert!(!lease.is_valid(start + 3 * SECOND));
+}
+
+#[test]
+fn lease_vouched() {
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    lease.ask(7, start);
+    // The answer comes after a freeze: it proves nothing about the time since the question.
+    lease.answer(7);
+    assert!(lease.is_valid(start + 2 * SECOND));
+    assert!(!lease.is_valid(start + 10 * SECOND));
+    lease.answer(8);
+    assert!(!lease.is_valid(start + 10 * SECOND), "an answer without a question counts");
+}
+
+/// Answers `count` requests of a duration at a full limit.
+fn answer(limit: &mut Limit, now: &mut Instant, count: u32, time: Duration) {
+    for _ in 0..count {
+        let since = *now;
+        *now += time;
+        limit.answered(since, *now, limit.current());
+    }
+}
+
+#[test]
+fn limit_grows() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(2, 5);
+    assert_eq!(limit.current(), 2);
+    answer(&mut limit, &mut now, 30, 10 * MILLI);
+    assert_eq!(limit.current(), 5, "the limit never passes what is declared");
+    limit.answered(now, now + 10 * MILLI, 1);
+    assert_eq!(limit.current(), 5);
+}
+
+#[test]
+fn limit_unusedgrowsnot() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(2, 5);
+    for _ in 0..50 {
+        limit.answered(now, now + 10 * MILLI, 1);
+        now += 10 * MILLI;
+    }
+    assert_eq!(limit.current(), 2, "a load that was never tried counts as borne");
+}
+
+#[test]
+fn limit_fallsonceperround() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(2, 40);
+    answer(&mut limit, &mut now, 1000, 10 * MILLI);
+    let full = limit.current();
+    assert!(full > 30);
+    let since = now;
+    now += 100 * MILLI;
+    for _ in 0..10 {
+        limit.answered(since, now, full);
+    }
+    assert_eq!(limit.current(), full / 2, "requests of one round count once");
+}
+
+#[test]
+fn limit_ejects() {
+    let now = Instant::now();
+    let mut limit = Limit::new(1, 5);
+    for _ in 0..4 {
+        limit.failed(now, now);
+    }
+    assert!(!limit.is_ejected(now));
+    limit.failed(now, now);
+    assert!(limit.is_ejected(now + SECOND));
+    assert!(!limit.is_ejected(now + 2 * SECOND));
+    assert_eq!(limit.current(), 1);
+    let later = now + 3 * SECOND;
+    for _ in 0..5 {
+        limit.failed(later, later);
+    }
+    assert!(limit.is_ejected(later + 3 * SECOND), "the second ejection is longer");
+}
+
+#[test]
+fn limit_goodanswerresetsfailures() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(1, 5);
+    for _ in 0..20 {
+        limit.failed(now, now);
+        answer(&mut limit, &mut now, 1, 10 * MILLI);
+    }
+    assert!(!limit.is_ejected(now));
+}
+
+#[test]
+fn barrier_everymember() {
+    let mut barrier = Barrier::new();
+    assert!(barrier.is_complete(5, []));
+    barrier.arrive(1, 5, 0, 2);
+    assert!(!barrier.is_complete(5, [1]));
+    barrier.arrive(1, 5, 0, 2);
+    assert!(!barrier.is_complete(5, [1]), "one part twice is not both");
+    barrier.arrive(1, 5, 1, 2);
+    assert!(barrier.is_complete(5, [1]));
+    assert!(!barrier.is_complete(5, [1, 2]));
+    barrier.arrive(2, 5, 0, 1);
+    assert!(barrier.is_complete(5, [1, 2]));
+    assert!(!barrier.is_complete(6, [1, 2]), "reports of another epoch count");
+    barrier.arrive(1, 6, 0, 1);
+    assert!(!barrier.is_complete(5, [1, 2]));
+    barrier.arrive(1, 5, 0, 1);
+    assert!(!barrier.is_complete(5, [1, 2]), "a late report took a later one's place");
+}
+
+#[test]
+fn outbox_untilacknowledged() {
+    let start = Instant::now();
+    let mut outbox = Outbox::new(100 * MILLI, 2);
+    for to in [1, 2, 3] {
+        outbox.push(to, |sequence| sequence);
+    }
+    let due = |outbox: &mut Outbox<u64>, now| {
+        let mut sent = Vec::new();
+        outbox.send_due(now, |to, sequence| sent.push((to, *sequence)));
+        sent
+    };
+    assert_eq!(due(&mut outbox, start), [(1, 1), (2, 2)]);
+    assert_eq!(due(&mut outbox, start + 50 * MILLI), []);
+    outbox.acknowledge(2, 1);
+    assert_eq!(outbox.len(), 3, "another's acknowledgement counts");
+    outbox.acknowledge(1, 1);
+    assert_eq!(due(&mut outbox, start + 50 * MILLI), [(3, 3)]);
+    assert_eq!(due(&mut outbox, start + 100 * MILLI), [(2, 2)]);
+}
+
+#[test]
+fn pick_byweight() {
+    let mut draw = Draw::new(SmallRng::seed_from_u64(1));
+    let candidate = |vm, weight| Candidate { vm, weight };
+    assert_eq!(draw.pick(&[]), None);
+    let candidates = [candidate(1, 1000), candidate(2, 3000), candidate(3, 0)];
+    let mut counts = [0; 4];
+    for _ in 0..60_000 {
+        if let Some(vm) = draw.pick(&candidates) {
+            counts[vm as usize] += 1;
+        }
+    }
+    // The third is taken at the mean of the others, 2000.
+    for (vm, expected) in [(1, 10_000_i32), (2, 30_000), (3, 20_000)] {
+        let count: i32 = counts[vm];
+        assert!((count - expected).abs() < 500, "{counts:?}");
+    }
+}
--- /dev/null
+++ b/crates/hyssopdyke/tests/version.rs
@@ -0,0 +1,216 @@
+//! Stores, replicas, the registry and views.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use hyssopdyke::version::{Outcome, Ranking, Registry, Replica, Store, View};
+use hyssopdyke::vm;
+use hyssopdyke_wire::ledger::{Command, Register, Unregister, Write, command};
+use hyssopdyke_wire::resource::{
+    Class, Domain, Kind, Listener, Protocol, Resource, Service, State, Upstream, resource::Body,
+};
+
+fn domain(name: &str, revision: u64, out: bool) -> Resource {
+    let body = Some(Body::Domain(Domain { out }));
+    Resource { name: name.into(), revision, generation: revision, body }
+}
+
+fn removed(name: &str, revision: u64) -> Resource {
+    let body = Some(Body::Deleted(Kind::Domain as i32));
+    Resource { name: name.into(), revision, generation: revision, body }
+}
+
+fn names(store: &Store) -> BTreeMap<String, u64> {
+    store.list(Kind::Domain).map(|r| (r.name.clone(), r.revision)).collect()
+}
+
+/// Fixed seeds of the random tests; the low half is the size.
+fn seeds() -> impl Iterator<Item = u64> {
+    (1..200).map(|seed: u64| (seed << 32) | 0x200)
+}
+
+#[test]
+fn apply_anypages() {
+    // A copy that takes pages of any size, at any times, holds what the store holds.
+    for seed in seeds() {
+        arbtest::arbtest(|source| {
+            let mut store = Store::new();
+            let mut replica = Replica::new();
+            for revision in 1..=source.int_in_range(1..=60)? {
+                let name = format!("d{}", source.int_in_range(0..=8)?);
+                let resource = if source.ratio(1, 4)? {
+                    removed(&name, revision)
+                } else {
+                    domain(&name, revision, false)
+                };
+                store.put(resource);
+                if source.ratio(1, 3)? {
+                    let budget = source.int_in_range(1..=60)?;
+                    let before = replica.store().revision();
+                    let page = store.since(replica.cursor(), budget);
+                    let moved = replica.apply(page).unwrap();
+                    assert!(replica.store().revision() >= before);
+                    assert_eq!(moved, replica.store().revision() > before);
+                }
+            }
+            while replica.store().revision() < store.revision() {
+                replica.apply(store.since(replica.cursor(), 40)).unwrap();
+            }
+            assert_eq!(names(replica.store()), names(&store));
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn apply_latepage() {
+    let mut store = Store::new();
+    store.put(domain("a", 1, false));
+    let late = store.since(0, 1000);
+    store.put(domain("a", 2, true));
+    let mut replica = Replica::new();
+    assert!(replica.apply(store.since(0, 1000)).unwrap());
+    assert!(!replica.apply(late).unwrap());
+    assert_eq!(names(replica.store()), [("a".into(), 2)].into());
+}
+
+#[test]
+fn apply_gap() {
+    let mut store = Store::new();
+    store.put(domain("a", 1, false));
+    store.put(domain("b", 2, false));
+    let mut replica = Replica::new();
+    assert!(replica.apply(store.since(1, 1000)).is_err());
+    assert_eq!(replica.store().revision(), 0);
+}
+
+#[test]
+fn since_forgottenremovals() {
+    let mut store = Store::new();
+    store.put(domain("kept", 1, false));
+    let mut replica = Replica::new();
+    replica.apply(store.since(0, 1000)).unwrap();
+    for round in 0..6000 {
+        store.put(domain("gone", 2 + round * 2, false));
+        store.put(removed(&format!("gone{round}"), 3 + round * 2));
+    }
+    store.put(removed("kept", 20_000));
+    let page = store.since(replica.cursor(), usize::MAX);
+    assert!(page.reset, "removals that were forgotten must not be passed over");
+    replica.apply(page).unwrap();
+    assert_eq!(names(replica.store()), names(&store));
+}
+
+fn listener(address: &str) -> Listener {
+    Listener {
+        address: address.into(),
+        port: 80,
+        protocol: Protocol::Tcp as i32,
+        class: Class::Request as i32,
+    }
+}
+
+fn service(name: &str) -> Resource {
+    let listeners = vec![listener("10.0.0.1")];
+    let service = Service { listeners, connections: 9, slots: 5, cold_slots: 1, epoch: 0 };
+    Resource { name: name.into(), body: Some(Body::Service(service)), ..Resource::default() }
+}
+
+fn write(key: &str, expected: Option<u64>, resource: Resource) -> Command {
+    let write = Write { idempotency_key: key.into(), expected, resource: Some(resource) };
+    Command { body: Some(command::Body::Write(write)) }
+}
+
+fn register(name: &str, boot: u64, port: u16) -> Command {
+    let upstream = Upstream {
+        domain: "d".into(),
+        service: "s".into(),
+        address: format!("127.0.0.1:{port}"),
+        boot,
+        ..Upstream::default()
+    };
+    let body = Some(Body::Upstream(upstream));
+    let resource = Some(Resource { name: name.into(), body, ..Resource::default() });
+    Command { body: Some(command::Body::Register(Register { resource })) }
+}
+
+fn unregister(name: &str, boot: u64) -> Command {
+    let kind = Kind::Upstream as i32;
+    let unregister = Unregister { kind, name: name.into(), boot };
+    Command { body: Some(command::Body::Unregister(unregister)) }
+}
+
+#[test]
+fn write_repeated() {
+    let mut registry = Registry::new();
+    let first = registry.apply(write("k", Some(0), domain("d", 0, false)));
+    let Outcome::Written(written) = &first else { panic!("{first:?}") };
+    registry.apply(write("l", Some(written.generation), domain("d", 0, true)));
+    let mut restored = Registry::restore(registry.snapshot(9, 1));
+    for registry in [&mut registry, &mut restored] {
+        let revision = registry.store().revision();
+        assert_eq!(registry.apply(write("k", Some(0), domain("d", 0, false))), first);
+        assert_eq!(registry.store().revision(), revision, "a repeat changed something");
+        let lost = registry.apply(write("m", Some(written.generation), domain("d", 0, false)));
+        assert!(matches!(lost, Outcome::Conflict(Some(current)) if current.generation == 2));
+    }
+}
+
+#[test]
+fn register_epochs() {
+    let mut registry = Registry::new();
+    registry.apply(write("k", None, service("s")));
+    let epoch = |registry: &Registry| View::new(registry.store()).pool("s").unwrap().epoch;
+    let first = epoch(&registry);
+    registry.apply(register("a", 1, 1));
+    let second = epoch(&registry);
+    assert!(second > first);
+    registry.apply(register("a", 1, 1));
+    assert_eq!(epoch(&registry), second, "the same process is no change of members");
+    registry.apply(register("a", 2, 1));
+    let third = epoch(&registry);
+    assert!(third > second, "a restart is a change of members");
+    registry.apply(unregister("a", 1));
+    assert_eq!(epoch(&registry), third, "a former process ended another's lease");
+    registry.apply(write("w", None, domain("d", 0, true)));
+    assert!(epoch(&registry) > third);
+    assert_eq!(View::new(registry.store()).pool("s").unwrap().members, []);
+    let service = registry.store().get(Kind::Service, "s").unwrap();
+    assert_eq!(service.generation, 1, "a change of members is no write of the operator");
+}
+
+#[test]
+fn unregister_draining() {
+    let mut registry = Registry::new();
+    registry.apply(write("k", None, service("s")));
+    registry.apply(register("a", 1, 1));
+    let state = State::Draining as i32;
+    let body = Some(Body::Upstream(Upstream { state, ..Upstream::default() }));
+    let drained = Resource { name: "a".into(), body, ..Resource::default() };
+    registry.apply(write("d", None, drained));
+    registry.apply(unregister("a", 1));
+    assert_eq!(View::new(registry.store()).pool("s").unwrap().members.len(), 0);
+    registry.apply(register("a", 2, 1));
+    let view = View::new(registry.store());
+    assert!(view.pool("s").unwrap().members[0].draining, "draining ended with a restart");
+}
+
+#[test]
+fn top_movesonlytheleaver() {
+    let members: Vec<u64> = (0..7).map(|n| vm::id(&format!("vm-{n}"))).collect();
+    let mut counts = BTreeMap::new();
+    for flow in 0..7000_u64 {
+        let hash = flow.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let (first, second) = Ranking::top(hash, members.iter().copied());
+        *counts.entry(first).or_insert(0) += 1;
+        let left = members.iter().copied().filter(|member| *member != members[3]);
+        let moved = Ranking::top(hash, left).0;
+        let expected = if first == Some(members[3]) { second } else { first };
+        assert_eq!(moved, expected);
+    }
+    for count in counts.values() {
+        assert!((850..1150).contains(count), "{counts:?}");
+    }
+}
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hyssopdyke::connection::{Connection, Event, Flow, Protocol};
-use hyssopdyke::request::Packet;
+use hyssopdyke::request::{Packet, Reset};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Record, datagram::Body};
 use slog::{debug, info, warn};
@@ -102,6 +102,10 @@
         if pool.member(self.me).is_none_or(|member| member.draining) {
             return Err(Reason::Draining);
         }
+        let is_ejected = self.limit.is_ejected(Instant::now());
+        if is_ejected && !self.peers.takes_ejected(pool) {
+            return Err(Reason::Full);
+        }
         let is_full = self.table.connections() >= pool.connections
             || (is_request && self.table.slots() >= self.limit.current());
         if is_full { Err(Reason::Full) } else { Ok(()) }
@@ -119,7 +123,7 @@
         let flow = packet.outbound();
         let busy = self.table.slots();
         let Some(event) = self.table.outbound(&flow, packet.segment.as_ref(), now) else {
-            return self.metrics.count("dropped.unknown_answer");
+            return self.refuse_answer(&packet);
         };
         match event {
             Some(Event::Answered(age)) => {
@@ -133,6 +137,14 @@
         self.send_to_fabric(bytes);
     }
 
+    /// Resets a flow that the upstream holds and that nobody else knows of any more.
+    fn refuse_answer(&mut self, packet: &Packet) {
+        self.metrics.count("dropped.unknown_answer");
+        if let Some(reset) = Reset::answer(packet).filter(|_| !self.is_fresh) {
+            self.send_to_upstream(&reset.encode());
+        }
+    }
+
     fn upstream_failed(&mut self, flow: &Flow, now: Instant) {
         let since = self.table.get(flow).map_or(now, |connection| connection.since);
         let was_ejected = self.limit.is_ejected(now);
@@ -142,6 +154,8 @@
             "limit" => self.limit.current());
         if !was_ejected && self.limit.is_ejected(now) {
             warn!(self.events.logger(), "upstream ejected"; "limit" => self.limit.current());
+            // The other members must not wait for the next exchange to spare the upstream.
+            self.exchange_loads(now);
         }
     }
 
@@ -161,8 +175,15 @@
     pub(super) fn give_up_all(&mut self) {
         let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
         info!(self.events.logger(), "failure domain is out"; "flows" => flows.len());
+        // An agent that learns of it late, after its lease, leaves its upstream alone; callers
+        // are outside the domain, and those that only listen learn of the end in no other way.
+        let may_send = self.membership.may_act(Instant::now());
         for flow in flows {
-            self.give_up(&flow);
+            if may_send {
+                self.reset_upstream(&flow);
+            }
+            self.reset_caller(&flow);
+            self.table.remove(&flow);
         }
         self.limit.cool(Instant::now());
     }
@@ -228,14 +249,15 @@
 
     /// Resets both ends of a flow and forgets it.
     fn give_up(&mut self, flow: &Flow) {
-        let resets = self.table.resets(flow);
-        if let Some(reset) = resets.upstream {
-            self.send_to_upstream(&reset.encode());
-        }
-        if let Some(reset) = resets.caller {
+        self.reset_upstream(flow);
+        self.reset_caller(flow);
+        self.forget(flow);
+    }
+
+    fn reset_caller(&mut self, flow: &Flow) {
+        if let Some(reset) = self.table.resets(flow).caller {
             self.send_to_fabric(&reset.encode());
         }
-        self.forget(flow);
     }
 
     fn reset_upstream(&mut self, flow: &Flow) {
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -36,13 +36,10 @@
     ///
     /// Ejected members are left out, unless fewer than half of the service would be left.
     pub(super) fn candidates(&self, pool: &Pool, declined: &[vm::Id]) -> Vec<Candidate> {
-        let is_ejected = |vm| self.loads.get(&vm).is_some_and(|load| load.ejected);
-        let active: Vec<_> = pool.members.iter().filter(|member| !member.draining).collect();
-        let sound = active.iter().filter(|member| !is_ejected(member.vm)).count();
-        let takes_all = sound * 2 < active.len();
+        let takes_ejected = self.takes_ejected(pool);
+        let active = pool.members.iter().filter(|member| !member.draining);
         active
-            .into_iter()
-            .filter(|member| takes_all || !is_ejected(member.vm))
+            .filter(|member| takes_ejected || !self.is_ejected(member.vm))
             .filter(|member| !declined.contains(&member.vm))
             .map(|member| Candidate {
                 vm: member.vm,
@@ -51,6 +48,17 @@
             .collect()
     }
 
+    /// Whether so many members are ejected that these must serve as well.
+    pub(super) fn takes_ejected(&self, pool: &Pool) -> bool {
+        let active = || pool.members.iter().filter(|member| !member.draining);
+        let sound = active().filter(|member| !self.is_ejected(member.vm)).count();
+        sound * 2 < active().count()
+    }
+
+    fn is_ejected(&self, vm: vm::Id) -> bool {
+        self.loads.get(&vm).is_some_and(|load| load.ejected)
+    }
+
     /// Members that last reported room.
     pub(super) fn with_room(&self, pool: &Pool) -> Vec<Candidate> {
         let has_room = |vm| self.loads.get(&vm).is_some_and(|load| load.room > 0);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -390,7 +390,7 @@
         }
     }
 
-    fn exchange_loads(&mut self, now: Instant) {
+    pub(super) fn exchange_loads(&mut self, now: Instant) {
         let Some(pool) = self.pool.clone() else {
             return;
         };
--- a/crates/hyssopdyked/tests/control.rs
+++ b/crates/hyssopdyked/tests/control.rs
@@ -241,7 +241,7 @@
     let first = write(client, "probe", 1);
     let mut watch = client.watch(first.revision - 1).unwrap();
     let page = watch.next().unwrap().unwrap();
-    assert_eq!(page.resources, [first.clone()]);
+    assert_eq!(page.resources, std::slice::from_ref(&first));
     let second = write(client, "probe", 2);
     let page = watch.next().unwrap().unwrap();
     assert_eq!((page.after, page.resources), (first.revision, vec![second.clone()]));
--- a/crates/hyssopdyked/tests/domains.rs
+++ b/crates/hyssopdyked/tests/domains.rs
@@ -57,10 +57,7 @@
         let status = bench.cluster.client().status().unwrap();
         status.daemons.iter().any(|daemon| daemon.name == "dispatch-2")
     });
-    // Resets for the flows that are given up are the only packets that may still come.
-    let after = bench.packets_in(OUT) - before;
-    let given_up = bench.events("dispatch-2", "failure domain is out");
-    assert!(after <= 30 && given_up <= 1, "{after} packets for a domain that is out");
+    assert_eq!(bench.packets_in(OUT), before, "packets for a domain that is out");
     let tally = bench.finish();
     assert_eq!((tally.unanswered, tally.wrong), (0, 0), "{tally:?}");
     bench.assert_sound();
--- a/crates/hyssopdyked/tests/flows.rs
+++ b/crates/hyssopdyked/tests/flows.rs
@@ -185,8 +185,9 @@
     bench.requests(200, Duration::from_millis(15));
     let tally = bench.finish();
     wait("the upstream is ejected", || bench.events("dispatch-1", "upstream ejected") > 0);
-    // Before it is ejected, five requests fail; each later trial of it costs as many.
-    assert!(tally.broken < 40, "{tally:?}");
+    // Five failures eject it for 2 s, so that it is ejected twice in the 3 s of the run. Two more
+    // requests may be under way each time.
+    assert!(tally.broken <= 14, "{tally:?}");
     for name in ["dispatch-2", "dispatch-3"] {
         assert_eq!(bench.events(name, "upstream ejected"), 0);
     }
