fix(agent): a flow that ended before it was adopted is no failure

Cause: an agent that restarts probes its adopted flows, and the upstream resets those that it no longer holds. Ruled out: draining (state was active) and slots (12 adopted, 12 closed).

Also: JSON events are written a line at a time; a killed process left half a line.

--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -156,7 +156,7 @@
 
     fn outbound(&mut self, segment: Option<&Segment>, now: Instant) -> Option<Event> {
         self.upstream_heard = now;
-        self.unverified = false;
+        let was_unverified = std::mem::replace(&mut self.unverified, false);
         let age = now.duration_since(self.since);
         let Some(segment) = segment else {
             self.opened = true;
@@ -164,7 +164,8 @@
         };
         if segment.rst {
             let unfinished = self.upstream.fin.is_none() && self.caller.fin.is_none();
-            let failed = !self.is_closed() && (unfinished || self.slot);
+            // An adopted flow that the upstream does not hold has ended before it was adopted.
+            let failed = !self.is_closed() && !was_unverified && (unfinished || self.slot);
             self.close(now);
             return failed.then_some(Event::Failed);
         }
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -103,7 +103,8 @@
     let probe = table.probe(&flow(1), start).unwrap();
     assert_eq!(probe.upstream.map(|probe| probe.sequence), Some(101));
     assert_eq!(probe.caller, None);
-    table.outbound(&flow(1), Some(&segment(0, None, "R", 0)), start);
+    let event = table.outbound(&flow(1), Some(&segment(0, None, "R", 0)), start);
+    assert_eq!(event, Some(None), "a flow that had ended counts as a failure");
     assert_eq!((table.slots(), table.unverified()), (0, vec![]));
 }
 
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -69,7 +69,9 @@
         "level" => FnValue(|record| record.level().as_str()),
         "event" => FnValue(|record| record.msg().to_string()),
     );
-    let json = slog_json::Json::new(std::io::stderr()).add_key_value(values).build();
+    // Whole lines are written, so that a process that is killed leaves no part of one.
+    let lines = std::io::LineWriter::new(std::io::stderr());
+    let json = slog_json::Json::new(lines).add_key_value(values).build();
     std::sync::Mutex::new(json).fuse()
 }
 
