--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -21,6 +21,8 @@
     pub asked: Option<vm::Id>,
     /// Members that declined since the last wait.
     pub declined: Vec<vm::Id>,
+    /// Members that may still be asked before the flow waits.
+    pub tries: usize,
     /// The packet that opened the flow.
     pub packet: Bytes,
     /// Arrival of that packet.
@@ -29,6 +31,14 @@
     pub sent: Instant,
 }
 
+impl Offer {
+    /// A flow that came at `now` with `packet`, and may be offered to `tries` members.
+    #[must_use]
+    pub const fn new(packet: Bytes, tries: usize, now: Instant) -> Self {
+        Self { asked: None, declined: Vec::new(), tries, packet, since: now, sent: now }
+    }
+}
+
 /// What the home knows of a flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Record {
--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -61,7 +61,7 @@
 pub enum Event {
     /// The upstream has taken the connection, after this time.
     Opened(Duration),
-    /// The upstream has finished its answer, after this time.
+    /// The upstream has finished its answer, this time after it was asked.
     Answered(Duration),
     /// The upstream has reset the connection before it finished its answer.
     Failed,
@@ -80,6 +80,8 @@
     upstream_heard: Instant,
     probed: Option<Instant>,
     probes: u32,
+    /// First bytes of the caller.
+    asked: Option<Instant>,
     /// The upstream has not been heard since the flow was adopted.
     unverified: bool,
     opened: bool,
@@ -100,6 +102,7 @@
             upstream_heard: now,
             probed: None,
             probes: 0,
+            asked: None,
             unverified: false,
             opened: false,
             slot,
@@ -138,6 +141,9 @@
             self.reset_by_caller(segment, now);
             return;
         }
+        if segment.length > 0 && self.asked.is_none() {
+            self.asked = Some(now);
+        }
         self.caller.sent(segment);
         if let Some(number) = segment.acknowledgement {
             self.upstream.acknowledge(number);
@@ -174,7 +180,9 @@
             self.caller.acknowledge(number);
         }
         let event = if segment.fin && self.release_slot() {
-            Some(Event::Answered(age))
+            // The handshake is no part of the upstream's work.
+            let asked = self.asked.unwrap_or(self.since);
+            Some(Event::Answered(now.duration_since(asked)))
         } else if segment.syn && !std::mem::replace(&mut self.opened, true) {
             Some(Event::Opened(age))
         } else {
--- a/crates/hyssopdyke/src/process/limit.rs
+++ b/crates/hyssopdyke/src/process/limit.rs
@@ -12,11 +12,17 @@
 /// Share that a decrease leaves of the limit.
 const DECREASE: f64 = 0.5;
 
-/// Answers that take longer than this multiple of the usual time are slow.
-const SLOW_RATIO: f64 = 3.0;
+/// The upstream is slow while its recent answers take longer than this multiple of the usual time.
+const SLOW_RATIO: f64 = 1.7;
 
-/// Weight of a new answer in the usual time.
-const SMOOTHING: f64 = 0.1;
+/// Least weight of a new answer in the usual time, which is the mean of the first answers.
+const USUAL_SMOOTHING: f64 = 0.01;
+
+/// Weight of a new answer in the recent time. A single answer is no sign: requests differ.
+const RECENT_SMOOTHING: f64 = 0.1;
+
+/// Answers at a full limit for each further request at a time.
+const ANSWERS_PER_STEP: f64 = 16.0;
 
 /// Failures in a row that eject an upstream.
 const EJECTING_FAILURES: u32 = 5;
@@ -34,6 +40,8 @@
     ceiling: u32,
     current: f64,
     usual: Option<Duration>,
+    recent: Duration,
+    answers: u32,
     /// Requests admitted before this instant say nothing about the limit of now.
     decreased: Option<Instant>,
     failures: u32,
@@ -52,6 +60,8 @@
             ceiling,
             current: f64::from(cold),
             usual: None,
+            recent: Duration::ZERO,
+            answers: 0,
             decreased: None,
             failures: 0,
             ejections: 0,
@@ -96,16 +106,20 @@
     pub fn answered(&mut self, since: Instant, now: Instant, busy: u32) {
         let time = now.duration_since(since);
         self.failures = 0;
+        self.answers = self.answers.saturating_add(1);
         let Some(usual) = self.usual else {
-            self.usual = Some(time);
+            (self.usual, self.recent) = (Some(time), time);
             return;
         };
-        if time > usual.mul_f64(SLOW_RATIO) && busy > self.cold {
+        self.recent = smooth(self.recent, time, RECENT_SMOOTHING);
+        if self.recent > usual.mul_f64(SLOW_RATIO) && busy > self.cold {
             self.decrease(since, now);
+            self.recent = usual;
         } else if busy >= self.current() {
             self.increase();
         }
-        self.usual = Some(usual.mul_f64(1.0 - SMOOTHING) + time.mul_f64(SMOOTHING));
+        let weight = USUAL_SMOOTHING.max(1.0 / f64::from(self.answers));
+        self.usual = Some(smooth(usual, time, weight));
     }
 
     /// Notes a request that was admitted at `since` and failed at `now`.
@@ -124,8 +138,7 @@
     }
 
     fn increase(&mut self) {
-        // One more per round of answers: each of `current` answers adds its share.
-        let step = 1.0 / self.current;
+        let step = 1.0 / ANSWERS_PER_STEP;
         self.current = (self.current + step).min(f64::from(self.ceiling));
         if self.current >= f64::from(self.ceiling) {
             self.ejections = 0;
@@ -148,3 +161,8 @@
         self.cool(now);
     }
 }
+
+/// Exponentially weighted mean.
+fn smooth(mean: Duration, new: Duration, weight: f64) -> Duration {
+    mean.mul_f64(1.0 - weight) + new.mul_f64(weight)
+}
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -19,7 +19,7 @@
 const OFFER_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for which a flow waits for room before it is refused.
-const WAIT: Duration = Duration::from_millis(300);
+pub(super) const WAIT: Duration = Duration::from_millis(300);
 
 /// Flows that may wait for room at a time.
 const WAITING_FLOWS: usize = 256;
@@ -88,9 +88,7 @@
     /// Starts to place a new flow.
     fn place(&mut self, flow: Flow, packet: Bytes) {
         let now = Instant::now();
-        let declined = Vec::new();
-        let offer = connection::Offer { asked: None, declined, packet, since: now, sent: now };
-        self.directory.offer(flow, offer);
+        self.directory.offer(flow, connection::Offer::new(packet, TRIES, now));
         self.metrics.count("placed");
         self.ask_next(flow);
     }
@@ -99,14 +97,8 @@
     /// whether the former one is over.
     fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes) {
         let now = Instant::now();
-        let offer = connection::Offer {
-            asked: Some(owner),
-            declined: Vec::new(),
-            packet: packet.clone(),
-            since: now,
-            sent: now,
-        };
-        self.directory.offer(flow, offer);
+        let offer = connection::Offer::new(packet.clone(), TRIES, now);
+        self.directory.offer(flow, connection::Offer { asked: Some(owner), ..offer });
         self.send_offer(owner, packet);
     }
 
@@ -116,7 +108,8 @@
             let Some(pool) = self.pool.clone() else { return };
             let Some(offer) = self.directory.offer_mut(&flow) else { return };
             let candidates = self.peers.candidates(&pool, &offer.declined);
-            let chosen = self.draw.pick(&candidates).filter(|_| offer.declined.len() < TRIES);
+            let chosen = self.draw.pick(&candidates).filter(|_| offer.tries > 0);
+            offer.tries = offer.tries.saturating_sub(1);
             offer.asked = chosen;
             offer.sent = Instant::now();
             let packet = offer.packet.clone();
@@ -263,26 +256,48 @@
         if now.duration_since(offer.since) >= WAIT {
             return self.refuse(flow);
         }
+        offer.sent = now;
         let with_room = self.peers.with_room(&pool);
-        // Of the tries of a round, only one is left for a flow that waits.
         let all = self.peers.candidates(&pool, &[]);
-        let chosen = self.draw.pick(if with_room.is_empty() { &all } else { &with_room });
-        offer.declined =
-            all.iter().map(|candidate| candidate.vm).filter(|vm| Some(*vm) != chosen).collect();
-        offer.declined.truncate(TRIES - 1);
-        offer.sent = now;
-        offer.asked = chosen;
+        if let Some(vm) = self.draw.pick(if with_room.is_empty() { &all } else { &with_room }) {
+            self.offer_to(flow, vm);
+        }
+    }
+
+    /// Takes a member's message that it has room.
+    pub(super) fn room(&mut self, from: SocketAddr) {
+        match self.peers.id(from) {
+            Some(vm) => self.offer_waiting(vm),
+            None => self.metrics.count("dropped.no_peer"),
+        }
+    }
+
+    /// Offers the flow that has waited longest to a member that has room.
+    pub(super) fn offer_waiting(&mut self, vm: vm::Id) {
+        let waiting = self.directory.iter().filter_map(|(flow, record)| match record {
+            Record::Offered(offer) if offer.asked.is_none() => Some((offer.since, *flow)),
+            _ => None,
+        });
+        let oldest = waiting.min_by_key(|(since, _)| *since);
+        if let Some((_, flow)) = oldest {
+            self.offer_to(flow, vm);
+        }
+    }
+
+    /// Offers a waiting flow to one member only.
+    fn offer_to(&mut self, flow: Flow, vm: vm::Id) {
+        let Some(offer) = self.directory.offer_mut(&flow) else { return };
+        offer.declined.clear();
+        offer.tries = 1;
+        offer.sent = Instant::now();
+        offer.asked = Some(vm);
         let packet = offer.packet.clone();
-        match chosen {
-            None => {}
-            Some(vm) if vm != self.me => self.send_offer(vm, packet),
-            Some(_) => {
-                if !self.admit_own(flow, &packet)
-                    && let Some(offer) = self.directory.offer_mut(&flow)
-                {
-                    offer.asked = None;
-                }
-            }
+        if vm != self.me {
+            self.send_offer(vm, packet);
+        } else if !self.admit_own(flow, &packet)
+            && let Some(offer) = self.directory.offer_mut(&flow)
+        {
+            offer.asked = None;
         }
     }
 
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -7,9 +7,12 @@
 use hyssopdyke::connection::{Connection, Event, Flow, Protocol};
 use hyssopdyke::request::{Packet, Reset};
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Record, datagram::Body};
+use hyssopdyke_wire::datagram::{
+    Accepted, Declined, Offer, Owner, Reason, Record, Room, datagram::Body,
+};
 use slog::{debug, info, warn};
 
+use super::home::WAIT;
 use super::worker::Worker;
 
 /// Time for which a closed flow is remembered, so that its last packets find the upstream.
@@ -18,6 +21,9 @@
 /// Time in which an upstream must take a connection.
 const OPENING: Duration = Duration::from_secs(1);
 
+/// Declined flows that may wait for room at a time.
+const WAITERS: usize = 256;
+
 /// Time between two probes of a silent flow.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -108,7 +114,32 @@
         }
         let is_full = self.table.connections() >= pool.connections
             || (is_request && self.table.slots() >= self.limit.current());
-        if is_full { Err(Reason::Full) } else { Ok(()) }
+        if !is_full {
+            return Ok(());
+        }
+        if self.waiters.len() == WAITERS {
+            self.waiters.pop_front();
+        }
+        self.waiters.push_back((home, Instant::now()));
+        Err(Reason::Full)
+    }
+
+    /// Tells a home whose flow was declined that there is room now.
+    fn tell_room(&mut self, now: Instant) {
+        if self.table.slots() >= self.limit.current() {
+            return;
+        }
+        while let Some((home, since)) = self.waiters.pop_front() {
+            if now.duration_since(since) >= WAIT {
+                continue;
+            }
+            if home == self.me {
+                self.offer_waiting(self.me);
+            } else {
+                self.send(home, Body::Room(Room {}));
+            }
+            return;
+        }
     }
 
     /// Passes an answer of the upstream on to the fabric.
@@ -135,6 +166,7 @@
         }
         self.metrics.count("answered");
         self.send_to_fabric(bytes);
+        self.tell_room(now);
     }
 
     /// Resets a flow that the upstream holds and that nobody else knows of any more.
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -27,6 +27,7 @@
     /// Reports all flows anew, since homes have moved.
     pub(super) fn epoch_changed(&mut self, pool: &Pool) {
         self.peers.follow(pool);
+        self.draw.retain(|vm| pool.member(vm).is_some());
         self.barrier.retain(|vm| pool.member(vm).is_some());
         self.outbox.retain(|_, _| false);
         self.increments.clear();
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -88,6 +88,8 @@
     pub(super) outbox: Outbox<Report>,
     pub(super) increments: HashMap<vm::Id, Increment>,
     pub(super) held: VecDeque<(Forward, SocketAddr)>,
+    /// Homes whose flows were declined as the upstream was full, and when.
+    pub(super) waiters: VecDeque<(vm::Id, Instant)>,
     pub(super) limit: Limit,
     pub(super) draw: Draw<SmallRng>,
 }
@@ -124,6 +126,7 @@
             outbox: Outbox::new(REPORT_INTERVAL, REPORT_WINDOW),
             increments: HashMap::new(),
             held: VecDeque::new(),
+            waiters: VecDeque::new(),
             limit: Limit::new(1, 1),
             draw: Draw::new(SmallRng::seed_from_u64(boot)),
         }
@@ -270,6 +273,7 @@
                     self.view_changed();
                 }
             }
+            Some(Body::Room(_)) => self.room(from),
             None => self.metrics.count("unexpected"),
         }
     }
--- a/crates/hyssopdyked/src/node/link.rs
+++ b/crates/hyssopdyked/src/node/link.rs
@@ -1,17 +1,21 @@
 //! Datagram sockets: sealed messages between daemons, and bare IP packets at the borders.
 
+use std::collections::VecDeque;
+use std::io::IoSliceMut;
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
 use hyssopdyke_wire::datagram::Datagram;
 use hyssopdyke_wire::{Error, Key};
+use quinn_udp::{RecvMeta, UdpSockRef, UdpSocketState};
+use tokio::io::Interest;
 use tokio::net::UdpSocket;
 
-/// Bytes of the longest datagram that is read; the rest of a longer one is cut off.
-const DATAGRAM_BYTES: usize = 4096;
+/// Bytes for one read. The kernel may join datagrams of one sender up to this length.
+const READ_BYTES: usize = 1 << 16;
 
-/// Memory that is taken for received datagrams at a time.
-const CHUNK_BYTES: usize = 64 * DATAGRAM_BYTES;
+/// Reads in one system call.
+const READS: usize = 16;
 
 /// Bytes that a socket buffers in each direction.
 const SOCKET_BYTES: usize = 4 << 20;
@@ -19,7 +23,10 @@
 /// A socket that carries IP packets in UDP, without a header of its own (the FOU form of Linux).
 pub(crate) struct Tunnel {
     socket: UdpSocket,
-    chunk: BytesMut,
+    state: UdpSocketState,
+    buffer: Box<[u8]>,
+    /// Datagrams that were read and not taken yet.
+    read: VecDeque<(Bytes, SocketAddr)>,
 }
 
 impl Tunnel {
@@ -33,7 +40,9 @@
         socket.set_send_buffer_size(SOCKET_BYTES)?;
         socket.bind(&address.into())?;
         let socket = UdpSocket::from_std(socket.into())?;
-        Ok(Self { socket, chunk: BytesMut::new() })
+        let state = UdpSocketState::new(UdpSockRef::from(&socket))?;
+        let buffer = vec![0; READS * READ_BYTES].into_boxed_slice();
+        Ok(Self { socket, state, buffer, read: VecDeque::new() })
     }
 
     /// Address that the socket is bound to.
@@ -43,25 +52,47 @@
 
     /// Waits until there may be something to take.
     pub(crate) async fn readable(&self) -> std::io::Result<()> {
-        self.socket.readable().await
+        if self.read.is_empty() { self.socket.readable().await } else { Ok(()) }
     }
 
     /// Takes a datagram that has arrived.
     pub(crate) fn take(&mut self) -> std::io::Result<Option<(Bytes, SocketAddr)>> {
-        if self.chunk.capacity() < DATAGRAM_BYTES {
-            self.chunk.reserve(CHUNK_BYTES);
-        }
-        match self.socket.try_recv_buf_from(&mut self.chunk) {
-            Ok((_, from)) => Ok(Some((self.chunk.split().freeze(), from))),
-            Err(error) if is_transient(&error) => Ok(None),
-            Err(error) => Err(error),
+        if self.read.is_empty() {
+            self.fill()?;
         }
+        Ok(self.read.pop_front())
     }
 
     /// Sends a datagram; false if it was lost at once.
     pub(crate) fn send(&self, bytes: &[u8], to: SocketAddr) -> bool {
         self.socket.try_send_to(bytes, to).is_ok()
     }
+
+    /// Reads what has arrived, several datagrams in one system call.
+    fn fill(&mut self) -> std::io::Result<()> {
+        let mut metas = [RecvMeta::default(); READS];
+        let (socket, state) = (&self.socket, &self.state);
+        let mut parts = self.buffer.chunks_mut(READ_BYTES);
+        let mut slices: [IoSliceMut<'_>; READS] =
+            std::array::from_fn(|_| IoSliceMut::new(parts.next().unwrap_or_default()));
+        let result = socket.try_io(Interest::READABLE, || {
+            state.recv(UdpSockRef::from(socket), &mut slices, &mut metas)
+        });
+        let count = match result {
+            Ok(count) => count,
+            Err(error) if is_transient(&error) => 0,
+            Err(error) => return Err(error),
+        };
+        let metas = &metas[..count];
+        let mut chunk = BytesMut::with_capacity(metas.iter().map(|meta| meta.len).sum());
+        for (meta, part) in metas.iter().zip(self.buffer.chunks(READ_BYTES)) {
+            for datagram in part[..meta.len].chunks(meta.stride.max(1)) {
+                chunk.extend_from_slice(datagram);
+                self.read.push_back((chunk.split().freeze(), meta.addr));
+            }
+        }
+        Ok(())
+    }
 }
 
 /// A full socket, or the echo of an earlier datagram to a peer that is gone.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod stack;
 mod subnet;
 mod upstream;
+mod usage;
 
 pub use caller::{Callers, Kind, Outcome, Spec, Tally};
 pub use cluster::{Cluster, Error, Layout, ServiceLayout};
@@ -18,3 +19,4 @@
 pub use process::Process;
 pub use subnet::Subnet;
 pub use upstream::{Behavior, Truth, Upstream};
+pub use usage::Usage;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,7 +1,12 @@
 //! Chores of the workspace that ship with no product.
 
+mod fake;
 mod generate;
+mod placement;
 mod quickstart;
+mod replay;
+mod slopes;
+mod throughput;
 
 use clap::Command;
 
@@ -11,12 +16,25 @@
         .subcommand_required(true)
         .subcommand(Command::new("generate").about("Generate the wire types from the .proto files"))
         .subcommand(quickstart::command())
+        .subcommand(placement::command())
+        .subcommand(replay::command())
+        .subcommand(slopes::command())
+        .subcommand(throughput::command())
+        .subcommand(throughput::relay_command())
 }
 
 fn main() -> eyre::Result<()> {
     match command().get_matches().subcommand() {
         Some(("generate", _)) => generate::run(),
         Some(("quickstart", matches)) => quickstart::run(matches),
+        Some(("placement", matches)) => {
+            placement::run(matches);
+            Ok(())
+        }
+        Some(("replay", matches)) => replay::run(matches),
+        Some(("slopes", matches)) => slopes::run(matches),
+        Some(("throughput", matches)) => throughput::run(matches),
+        Some(("relay", matches)) => throughput::relay(matches),
         _ => Ok(()),
     }
 }
--- /dev/null
+++ b/crates/xtask/src/placement.rs
@@ -0,0 +1,344 @@
+//! Placement policies side by side on a queue model.
+//!
+//! Members have five slots and speeds of 1 to 4; requests come at random times and take
+//! exponential times. A request that finds no slot is refused, but for the policy of the product,
+//! which waits a little, and for the ideal placer, which knows every free slot and waits as well.
+//! The model shows the difference between policies; the processes themselves decide.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use hyssopdyke::request::{Candidate, Draw};
+use hyssopdyke::version::Ranking;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Slots of each member.
+const SLOTS: usize = 5;
+
+/// Time that a flow waits for room, in mean times of the slowest member.
+const WAIT: f64 = 0.3;
+
+/// Time between two tries of a flow that waits.
+const RETRY: f64 = 0.05;
+
+/// Time between two reports of use.
+const REPORT: f64 = 0.5;
+
+/// Requests of one run, and those at its start that are not counted.
+const REQUESTS: usize = 200_000;
+const WARM_UP: usize = 20_000;
+
+/// What the weights of the draw are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Weights {
+    /// The true speeds.
+    Right,
+    /// All the same.
+    Equal,
+    /// Learned from answers, told to the homes ten mean times later, and wrong at the start.
+    Lagging,
+}
+
+/// How a member is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    Rendezvous,
+    WeightedRendezvous,
+    RoundRobin,
+    LeastStale,
+    /// The weighted draw with some tries; a member that frees a slot may tell the homes of waiting
+    /// flows.
+    Draw {
+        weights: Weights,
+        tries: usize,
+        tells: bool,
+    },
+    Ideal,
+}
+
+const POLICIES: [(&str, Policy); 11] = [
+    ("rendezvous", Policy::Rendezvous),
+    ("weighted rendezvous", Policy::WeightedRendezvous),
+    ("round robin", Policy::RoundRobin),
+    ("least use, reports 0.5 old", Policy::LeastStale),
+    ("weighted draw, 4 tries, wait", draw(Weights::Right, 4, false)),
+    ("8 tries, wait", draw(Weights::Right, 8, false)),
+    ("4 tries, told of free slots", draw(Weights::Right, 4, true)),
+    ("8 tries, told of free slots", draw(Weights::Right, 8, true)),
+    ("the same, equal weights", draw(Weights::Equal, 8, true)),
+    ("the same, learned, lag 10", draw(Weights::Lagging, 8, true)),
+    ("ideal: any free slot, wait", Policy::Ideal),
+];
+
+const fn draw(weights: Weights, tries: usize, tells: bool) -> Policy {
+    Policy::Draw { weights, tries, tells }
+}
+
+pub(crate) fn command() -> Command {
+    Command::new("placement")
+        .about("Compare placement policies on a queue model")
+        .arg(Arg::new("seed").long("seed").default_value("1").value_parser(value_parser!(u64)))
+}
+
+pub(crate) fn run(matches: &ArgMatches) {
+    let seed = *matches.get_one::<u64>("seed").unwrap_or(&1);
+    for members in [7_u32, 3] {
+        let speeds: Vec<f64> = (0..members)
+            .map(|index| 1.0 + 3.0 * f64::from(index) / f64::from(members - 1))
+            .collect();
+        println!("{members} members, speeds 1 to 4, imbalance max/mean and share refused");
+        println!("{:<30} {:>14} {:>14} {:>14} {:>14}", "", "30%", "70%", "90%", "120%");
+        for (name, policy) in POLICIES {
+            let cells = [0.3, 0.7, 0.9, 1.2].map(|load| {
+                let result = Model::new(&speeds, policy, seed).run(load);
+                format!("{:.3} / {:4.1}%", result.imbalance, result.refused * 100.0)
+            });
+            println!(
+                "{name:<30} {:>14} {:>14} {:>14} {:>14}",
+                cells[0], cells[1], cells[2], cells[3]
+            );
+        }
+    }
+}
+
+struct Outcome {
+    imbalance: f64,
+    refused: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+enum Kind {
+    Arrival,
+    Done { member: usize, since: f64 },
+    Retry { since: f64 },
+    Report,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Event {
+    at: f64,
+    kind: Kind,
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.total_cmp(&other.at)
+    }
+}
+
+struct Model {
+    speeds: Vec<f64>,
+    policy: Policy,
+    random: SmallRng,
+    draw: Draw<SmallRng>,
+    events: BinaryHeap<Reverse<Event>>,
+    now: f64,
+    running: Vec<usize>,
+    reported: Vec<usize>,
+    /// Time that slots were taken, since the warm-up.
+    used: Vec<f64>,
+    changed: Vec<f64>,
+    learned: Vec<f64>,
+    told: Vec<(f64, Vec<f64>)>,
+    next: usize,
+    refused: usize,
+    counted_from: f64,
+    /// Arrivals of the flows that wait, oldest first.
+    waiting: VecDeque<f64>,
+}
+
+impl Model {
+    fn new(speeds: &[f64], policy: Policy, seed: u64) -> Self {
+        let count = speeds.len();
+        Self {
+            speeds: speeds.into(),
+            policy,
+            random: SmallRng::seed_from_u64(seed),
+            draw: Draw::new(SmallRng::seed_from_u64(seed + 1)),
+            events: BinaryHeap::new(),
+            now: 0.0,
+            running: vec![0; count],
+            reported: vec![0; count],
+            used: vec![0.0; count],
+            changed: vec![0.0; count],
+            learned: vec![1.0; count],
+            told: vec![(0.0, vec![1.0; count])],
+            next: 0,
+            refused: 0,
+            counted_from: 0.0,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    fn run(mut self, load: f64) -> Outcome {
+        let rate = load * SLOTS as f64 * self.speeds.iter().sum::<f64>();
+        let mut arrivals = 0;
+        self.schedule(0.0, Kind::Arrival);
+        self.schedule(REPORT, Kind::Report);
+        while let Some(Reverse(event)) = self.events.pop() {
+            self.now = event.at;
+            match event.kind {
+                Kind::Arrival => {
+                    arrivals += 1;
+                    if arrivals == WARM_UP {
+                        self.start_count();
+                    }
+                    if arrivals == REQUESTS {
+                        break;
+                    }
+                    let pause = self.exponential() / rate;
+                    self.schedule(pause, Kind::Arrival);
+                    self.place(self.now);
+                }
+                Kind::Done { member, since } => self.done(member, since),
+                Kind::Retry { since } => {
+                    // A flow that was told of a free slot meanwhile waits no longer.
+                    let is_same = |other: &f64| other.total_cmp(&since).is_eq();
+                    let waiting = self.waiting.iter().position(is_same);
+                    if waiting.and_then(|index| self.waiting.remove(index)).is_some() {
+                        self.place(since);
+                    }
+                }
+                Kind::Report => {
+                    self.reported.clone_from(&self.running);
+                    self.told.push((self.now, self.learned.clone()));
+                    self.told.retain(|(at, _)| *at + 11.0 > self.now);
+                    self.schedule(REPORT, Kind::Report);
+                }
+            }
+        }
+        for member in 0..self.speeds.len() {
+            self.account(member);
+        }
+        let time = self.now - self.counted_from;
+        let use_of: Vec<f64> = self.used.iter().map(|used| used / time).collect();
+        let mean = use_of.iter().sum::<f64>() / use_of.len() as f64;
+        let most = use_of.iter().copied().fold(0.0, f64::max);
+        let refused = self.refused as f64 / (REQUESTS - WARM_UP) as f64;
+        Outcome { imbalance: most / mean, refused }
+    }
+
+    fn start_count(&mut self) {
+        for member in 0..self.speeds.len() {
+            self.account(member);
+            self.used[member] = 0.0;
+        }
+        (self.refused, self.counted_from) = (0, self.now);
+    }
+
+    fn place(&mut self, since: f64) {
+        match self.choose(since > self.now - f64::EPSILON) {
+            Some(member) => self.start(member),
+            None if self.waits() && self.now - since + RETRY <= WAIT => {
+                self.schedule(RETRY, Kind::Retry { since });
+                self.waiting.push_back(since);
+            }
+            None => self.refused += 1,
+        }
+    }
+
+    fn start(&mut self, member: usize) {
+        self.account(member);
+        self.running[member] += 1;
+        let time = self.exponential() / self.speeds[member];
+        self.schedule(time, Kind::Done { member, since: self.now });
+    }
+
+    const fn waits(&self) -> bool {
+        matches!(self.policy, Policy::Draw { .. } | Policy::Ideal)
+    }
+
+    fn choose(&mut self, is_first: bool) -> Option<usize> {
+        let count = self.speeds.len();
+        let chosen = match self.policy {
+            Policy::Rendezvous => {
+                let flow = self.random.random();
+                Ranking::top(flow, 0..count as u64).0.map_or(0, |member| member as usize)
+            }
+            Policy::WeightedRendezvous => {
+                let flow: u64 = self.random.random();
+                let score = |member: &usize| {
+                    let weight = Ranking::weight(flow, *member as u64) as f64 / u64::MAX as f64;
+                    -self.speeds[*member] / weight.max(1e-300).ln()
+                };
+                let best = (0..count).max_by(|a, b| score(a).total_cmp(&score(b)));
+                best.unwrap_or(0)
+            }
+            Policy::RoundRobin => {
+                self.next += 1;
+                self.next % count
+            }
+            Policy::LeastStale => {
+                let least = (0..count).min_by_key(|member| self.reported[*member]);
+                least.unwrap_or(0)
+            }
+            Policy::Draw { weights, tries, .. } => {
+                return self.draw_member(weights, if is_first { tries } else { 1 });
+            }
+            Policy::Ideal => {
+                let free = (0..count).filter(|member| self.running[*member] < SLOTS);
+                return free.min_by_key(|member| self.running[*member]);
+            }
+        };
+        (self.running[chosen] < SLOTS).then_some(chosen)
+    }
+
+    fn draw_member(&mut self, weights: Weights, tries: usize) -> Option<usize> {
+        let weight = |model: &Self, member: usize| match weights {
+            Weights::Right => model.speeds[member],
+            Weights::Equal => 1.0,
+            Weights::Lagging => model.told.first().map_or(1.0, |(_, told)| told[member]),
+        };
+        let mut left: Vec<Candidate> = (0..self.speeds.len())
+            .map(|member| Candidate {
+                vm: member as u64,
+                weight: (weight(self, member) * 1000.0) as u32,
+            })
+            .collect();
+        for _ in 0..tries {
+            let chosen = self.draw.pick(&left)? as usize;
+            if self.running[chosen] < SLOTS {
+                return Some(chosen);
+            }
+            left.retain(|candidate| candidate.vm != chosen as u64);
+        }
+        None
+    }
+
+    fn done(&mut self, member: usize, since: f64) {
+        self.account(member);
+        self.running[member] -= 1;
+        let rate = 1.0 / (self.now - since).max(1e-6);
+        // The mean time is what is smoothed; its inverse is the weight.
+        let time = 0.95 / self.learned[member] + 0.05 / rate;
+        self.learned[member] = 1.0 / time;
+        if matches!(self.policy, Policy::Draw { tells: true, .. })
+            && self.waiting.pop_front().is_some()
+        {
+            self.start(member);
+        }
+    }
+
+    fn account(&mut self, member: usize) {
+        self.used[member] += self.running[member] as f64 * (self.now - self.changed[member]);
+        self.changed[member] = self.now;
+    }
+
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.random.random::<f64>()).ln()
+    }
+
+    fn schedule(&mut self, after: f64, kind: Kind) {
+        self.events.push(Reverse(Event { at: self.now + after, kind }));
+    }
+}
--- a/crates/xtask/src/quickstart.rs
+++ b/crates/xtask/src/quickstart.rs
@@ -34,7 +34,8 @@
 /// Builds the daemons and returns the folder of the programs.
 pub(crate) fn build() -> Result<PathBuf> {
     let status = Program::new(env!("CARGO"))
-        .args(["build", "--locked", "--package", "hyssopdyked", "--package", "hyssopctl"])
+        .args(["build", "--quiet", "--locked", "--package", "hyssopdyked"])
+        .args(if cfg!(debug_assertions) { &[][..] } else { &["--release"][..] })
         .status()?;
     ensure!(status.success(), "the daemons do not build");
     let own = std::env::current_exe()?;
--- /dev/null
+++ b/crates/xtask/src/replay.rs
@@ -0,0 +1,544 @@
+//! Replays a recorded trace against the real processes and compares with its outcomes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Result, WrapErr, ensure, eyre};
+use hyssopctl::{Client, Error as ClientError, Precondition};
+use hyssopdyke_wire::resource::{Kind as ResourceKind, State, resource::Body};
+use serde::Deserialize;
+use standin::{
+    Behavior, Callers, Cluster, Faults, Kind, Layout, Outcome, ServiceLayout, Spec, Tally,
+};
+
+use crate::quickstart;
+
+/// Time that a caller waits.
+const DEADLINE: Duration = Duration::from_secs(45);
+
+/// Time between two lines of a stream.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause of the replay's clock.
+const STEP: Duration = Duration::from_millis(2);
+
+/// Time in ms, service and kind of a flow.
+type Arrival = (u64, (std::net::Ipv4Addr, u16), Kind);
+
+/// Operators who race each other.
+const OPERATORS: u32 = 4;
+
+/// A recorded trace.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Trace {
+    about: Box<str>,
+    seed: u64,
+    control: u8,
+    entries: u8,
+    domains: Vec<Box<str>>,
+    services: Vec<Service>,
+    load: Vec<Load>,
+    #[serde(default)]
+    actions: Vec<Action>,
+    expect: Expect,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Service {
+    name: Box<str>,
+    slots: u32,
+    cold_slots: u32,
+    /// Mean time of a request at speed 1, in ms.
+    request_ms: f64,
+    /// Time for which an upstream bears more than it should, in ms.
+    #[serde(default)]
+    patience_ms: u64,
+    /// All requests take the mean time.
+    #[serde(default)]
+    constant: bool,
+    /// Speed of each upstream.
+    speeds: Vec<f64>,
+    /// Requests after which an upstream is warm.
+    #[serde(default)]
+    warming_requests: u32,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+enum Load {
+    /// Requests at random times.
+    Requests { service: Box<str>, rate: f64, from_ms: u64, until_ms: u64, bytes: u64 },
+    /// Streams that are opened at one time.
+    Streams { service: Box<str>, count: u64, at_ms: u64, length_ms: u64 },
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Action {
+    at_ms: u64,
+    #[serde(rename = "do")]
+    verb: Verb,
+    /// VM, failure domain or service that is acted on.
+    on: Box<str>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Verb {
+    Kill,
+    Terminate,
+    Respawn,
+    Freeze,
+    Thaw,
+    DomainOut,
+    DomainIn,
+    Drain,
+    Resume,
+    /// The upstream becomes cold, and nobody is told.
+    Cool,
+    /// Operators write the same service at the same generation.
+    Race,
+    /// Packets are copied to two entries from now on.
+    Copies,
+}
+
+/// Outcomes that the trace states. The promises that always hold are checked besides.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Expect {
+    /// Highest share of requests that may be refused.
+    refused_share: f64,
+    /// Highest use of an upstream over the mean, where it is stated.
+    imbalance: Option<f64>,
+    /// Start of the time whose use is compared.
+    #[serde(default)]
+    use_from_ms: u64,
+    /// Falls of upstreams that may happen.
+    #[serde(default)]
+    falls: u32,
+    /// Time after which a failure domain that was taken out gets no packet.
+    silent_ms: u64,
+    /// Time within which an accepted change is in force.
+    in_force_ms: u64,
+}
+
+pub(crate) fn command() -> Command {
+    Command::new("replay")
+        .about("Replay traces against the real processes")
+        .arg(Arg::new("trace").required(true).num_args(1..).value_parser(value_parser!(PathBuf)))
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
+    let mut failed = Vec::new();
+    for path in matches.get_many::<PathBuf>("trace").unwrap_or_default() {
+        let trace = open(path)?;
+        println!("{}: {}", path.display(), trace.about);
+        let faults = Replay::start(&trace)?.run()?;
+        for fault in &faults {
+            println!("  FAILED: {fault}");
+        }
+        if faults.is_empty() {
+            println!("  every outcome is as stated");
+        } else {
+            failed.push(path.display().to_string());
+        }
+    }
+    ensure!(failed.is_empty(), "not as stated: {}", failed.join(", "));
+    Ok(())
+}
+
+pub(crate) fn open(path: &Path) -> Result<Trace> {
+    let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    serde_json::from_str(&text).wrap_err_with(|| path.display().to_string())
+}
+
+struct Replay<'a> {
+    trace: &'a Trace,
+    cluster: Cluster,
+    callers: Callers,
+    start: Instant,
+    next: u64,
+    requests: usize,
+    waits: Vec<JoinHandle<(u64, Result<Duration, ClientError>)>>,
+    /// When each failure domain was taken out, while it is out.
+    out: BTreeMap<Box<str>, Instant>,
+    /// Domains that were out at some time.
+    were_out: BTreeSet<Box<str>>,
+    /// Time from taking a domain out to its last packet.
+    silent: Vec<(Box<str>, Duration)>,
+    /// Use of each upstream before the compared time.
+    used_before: BTreeMap<Box<str>, Duration>,
+    faults: Vec<String>,
+}
+
+impl<'a> Replay<'a> {
+    fn start(trace: &'a Trace) -> Result<Self> {
+        let binary = quickstart::build()?.join("hyssopdyked");
+        let folder = quickstart::folder("replay")?;
+        let services = trace.services.iter().map(layout).collect();
+        let layout = Layout {
+            control: trace.control,
+            entries: trace.entries,
+            domains: trace.domains.clone(),
+            services,
+            seed: trace.seed,
+            ..Layout::default()
+        };
+        let cluster = Cluster::start(&binary, &folder, layout)?;
+        let callers = cluster.callers(1)?;
+        Ok(Self {
+            trace,
+            cluster,
+            callers,
+            start: Instant::now(),
+            next: 1,
+            requests: 0,
+            waits: Vec::new(),
+            out: BTreeMap::new(),
+            were_out: BTreeSet::new(),
+            silent: Vec::new(),
+            used_before: BTreeMap::new(),
+            faults: Vec::new(),
+        })
+    }
+
+    fn run(mut self) -> Result<Vec<String>> {
+        let mut arrivals = self.arrivals()?;
+        let mut actions: Vec<&Action> = self.trace.actions.iter().collect();
+        actions.sort_by_key(|action| std::cmp::Reverse(action.at_ms));
+        let end = arrivals.last().map_or(0, |(at, ..)| *at);
+        let end = end.max(self.trace.actions.iter().map(|action| action.at_ms).max().unwrap_or(0));
+        arrivals.reverse();
+        self.start = Instant::now();
+        let mut told = 0;
+        while self.now() <= end {
+            while arrivals.last().is_some_and(|(at, ..)| *at <= self.now()) {
+                if let Some((_, service, kind)) = arrivals.pop() {
+                    self.call(service, kind);
+                }
+            }
+            while actions.last().is_some_and(|action| action.at_ms <= self.now()) {
+                if let Some(action) = actions.pop() {
+                    self.act(action)?;
+                }
+            }
+            if self.used_before.is_empty() && self.now() >= self.trace.expect.use_from_ms {
+                let truths = self.cluster.truths().into_iter();
+                self.used_before = truths.map(|(name, truth)| (name, truth.busy)).collect();
+            }
+            if self.now() / 5000 > told {
+                told = self.now() / 5000;
+                println!("  {:>6} ms  {:?}", self.now(), self.callers.tally());
+            }
+            std::thread::sleep(STEP);
+        }
+        if !self.callers.finish(DEADLINE * 2) {
+            self.faults.push("some flows have no outcome".into());
+        }
+        self.judge()?;
+        Ok(self.faults)
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// Arrivals in the order of time, at random times that the seed fixes.
+    fn arrivals(&self) -> Result<Vec<Arrival>> {
+        use rand::rngs::SmallRng;
+        use rand::{Rng, SeedableRng};
+        let mut random = SmallRng::seed_from_u64(self.trace.seed);
+        let mut arrivals = Vec::new();
+        for load in &self.trace.load {
+            match load {
+                Load::Requests { service, rate, from_ms, until_ms, bytes } => {
+                    let address = self.cluster.request_address(self.service(service)?);
+                    let mut at = *from_ms as f64;
+                    while at < *until_ms as f64 {
+                        arrivals.push((at as u64, address, Kind::Request { bytes: *bytes }));
+                        at += -(1.0 - random.random::<f64>()).ln() * 1000.0 / rate;
+                    }
+                }
+                Load::Streams { service, count, at_ms, length_ms } => {
+                    let address = self.cluster.stream_address(self.service(service)?);
+                    let length = Duration::from_millis(*length_ms);
+                    for _ in 0..*count {
+                        arrivals.push((
+                            *at_ms,
+                            address,
+                            Kind::Stream { interval: INTERVAL, length },
+                        ));
+                    }
+                }
+            }
+        }
+        arrivals.sort_by_key(|(at, ..)| *at);
+        Ok(arrivals)
+    }
+
+    fn service(&self, name: &str) -> Result<usize> {
+        let index = self.trace.services.iter().position(|service| *service.name == *name);
+        index.ok_or_else(|| eyre!("no service is named {name}"))
+    }
+
+    fn call(&mut self, service: (std::net::Ipv4Addr, u16), kind: Kind) {
+        let deadline = match kind {
+            Kind::Request { .. } => {
+                self.requests += 1;
+                DEADLINE
+            }
+            Kind::Stream { length, .. } => length + DEADLINE,
+        };
+        self.callers.start(Spec { id: self.next, service, kind, deadline });
+        self.next += 1;
+    }
+
+    fn act(&mut self, action: &Action) -> Result<()> {
+        println!("  {:>6} ms  {:?} {}", self.now(), action.verb, action.on);
+        let on = &action.on;
+        match action.verb {
+            Verb::Kill => self.cluster.process(on)?.kill()?,
+            Verb::Terminate => self.cluster.process(on)?.terminate()?,
+            Verb::Respawn => self.cluster.respawn(on)?,
+            Verb::Freeze => self.cluster.process(on)?.freeze()?,
+            Verb::Thaw => self.cluster.process(on)?.thaw()?,
+            Verb::DomainOut => {
+                let revision = self.cluster.set_domain(on, true)?;
+                self.out.insert(on.clone(), Instant::now());
+                self.were_out.insert(on.clone());
+                self.wait_in_force(revision);
+            }
+            Verb::DomainIn => {
+                self.note_silence(on)?;
+                let revision = self.cluster.set_domain(on, false)?;
+                self.wait_in_force(revision);
+            }
+            Verb::Drain => self.set_state(on, State::Draining)?,
+            Verb::Resume => self.set_state(on, State::Active)?,
+            Verb::Cool => self.cluster.upstream(on)?.cool(),
+            Verb::Race => self.race(on)?,
+            Verb::Copies => {
+                self.cluster.fabric().set_faults(Faults { loss: 0.0, duplicates: 0.3 });
+            }
+        }
+        Ok(())
+    }
+
+    fn set_state(&mut self, name: &str, state: State) -> Result<()> {
+        let client = self.cluster.client();
+        let mut resource = client.get(ResourceKind::Upstream, name)?;
+        if let Some(Body::Upstream(upstream)) = &mut resource.body {
+            upstream.state = state as i32;
+        }
+        let key = Client::idempotency_key();
+        let written = client.put(ResourceKind::Upstream, &resource, Precondition::None, &key)?;
+        self.wait_in_force(written.revision);
+        Ok(())
+    }
+
+    fn wait_in_force(&mut self, revision: u64) {
+        let client = self.cluster.client().clone();
+        self.waits.push(std::thread::spawn(move || {
+            let start = Instant::now();
+            let result = client.wait(revision, DEADLINE);
+            (revision, result.map(|_| start.elapsed()))
+        }));
+    }
+
+    /// Notes when the last packet came into a domain that is out until now.
+    fn note_silence(&mut self, domain: &str) -> Result<()> {
+        let Some(since) = self.out.remove(domain) else {
+            return Ok(());
+        };
+        let mut last = Duration::ZERO;
+        for (name, truth) in self.cluster.truths() {
+            if self.cluster.domain(&name)? == domain
+                && let Some(packet) = truth.last_packet
+            {
+                last = last.max(packet.saturating_duration_since(since));
+            }
+        }
+        self.silent.push((domain.into(), last));
+        Ok(())
+    }
+
+    /// Lets operators race, and repeats the winner's request as if its answer was lost.
+    fn race(&mut self, service: &str) -> Result<()> {
+        let client = self.cluster.client().clone();
+        let current = client.get(ResourceKind::Service, service)?;
+        let precondition = Precondition::Generation(current.generation);
+        let request = |operator: u32| {
+            let mut resource = current.clone();
+            if let Some(Body::Service(service)) = &mut resource.body {
+                service.connections += operator;
+            }
+            let key = format!("race-{service}-{}-{operator}", current.generation);
+            client.put(ResourceKind::Service, &resource, precondition, &key)
+        };
+        let results: Vec<_> = std::thread::scope(|scope| {
+            let request = &request;
+            let operators: Vec<_> = (1..=OPERATORS)
+                .map(|number| scope.spawn(move || (number, request(number))))
+                .collect();
+            operators.into_iter().filter_map(|operator| operator.join().ok()).collect()
+        });
+        let winners: Vec<_> = results.iter().filter(|(_, result)| result.is_ok()).collect();
+        if winners.len() != 1 {
+            self.faults.push(format!("{} operators won a race", winners.len()));
+        }
+        for (number, result) in &winners {
+            let repeat = request(*number);
+            if !matches!((result, &repeat), (Ok(first), Ok(again)) if first == again) {
+                self.faults.push(format!("a repeat got another answer: {repeat:?}"));
+            }
+        }
+        let revision = client.status()?.revision;
+        self.wait_in_force(revision);
+        Ok(())
+    }
+
+    fn judge(&mut self) -> Result<()> {
+        let out: Vec<Box<str>> = self.out.keys().cloned().collect();
+        for domain in out {
+            self.note_silence(&domain)?;
+        }
+        self.judge_flows()?;
+        self.judge_upstreams();
+        for (domain, last) in std::mem::take(&mut self.silent) {
+            println!("  last packet into {domain}: {} ms after it was out", last.as_millis());
+            if last.as_millis() as u64 > self.trace.expect.silent_ms {
+                self.faults.push(format!("{domain} got packets for {last:?}"));
+            }
+        }
+        let mut slowest = Duration::ZERO;
+        for wait in std::mem::take(&mut self.waits) {
+            match wait.join() {
+                Ok((_, Ok(time))) => slowest = slowest.max(time),
+                Ok((revision, Err(error))) => self.faults.push(format!("{revision}: {error}")),
+                Err(_) => self.faults.push("a wait has panicked".into()),
+            }
+        }
+        println!("  slowest change in force: {} ms", slowest.as_millis());
+        if slowest.as_millis() as u64 > self.trace.expect.in_force_ms {
+            self.faults.push(format!("a change was in force after {slowest:?}"));
+        }
+        Ok(())
+    }
+
+    fn judge_flows(&mut self) -> Result<()> {
+        let outcomes = self.callers.outcomes();
+        let truths = self.cluster.truths();
+        let mut runs: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
+        for (name, truth) in &truths {
+            for (id, count) in &truth.runs {
+                runs.entry(*id).or_default().extend(std::iter::repeat_n(&**name, *count as usize));
+            }
+        }
+        let double = runs.values().filter(|runs| runs.len() > 1).count();
+        let (mut broken, mut given_up, mut untrue, mut wrong) = (0, 0, 0, 0);
+        for (id, outcome) in &outcomes {
+            let owner = runs.get(id).and_then(|runs| runs.first()).copied();
+            match outcome {
+                Outcome::Broken | Outcome::Unanswered => {
+                    let domain = owner.map(|owner| self.cluster.domain(owner)).transpose()?;
+                    if domain.is_some_and(|domain| self.were_out.contains(domain)) {
+                        given_up += 1;
+                    } else {
+                        broken += 1;
+                    }
+                }
+                Outcome::Refused => untrue += usize::from(owner.is_some()),
+                Outcome::Wrong => wrong += 1,
+                Outcome::Whole { .. } | Outcome::Unconnected => {}
+            }
+        }
+        let tally = Tally::new(outcomes.values());
+        println!("  {tally:?}");
+        println!(
+            "  broken {broken}, given up with their domain {given_up}, run twice {double}, refused and run {untrue}"
+        );
+        for (what, count) in [
+            ("broken flows", broken),
+            ("requests run twice", double),
+            ("refused requests that ran", untrue),
+            ("wrong answers", wrong),
+            ("unconnected callers", tally.unconnected),
+        ] {
+            if count > 0 {
+                self.faults.push(format!("{count} {what}"));
+            }
+        }
+        let share = tally.refused as f64 / self.requests.max(1) as f64;
+        println!("  refused {:.2}% of {} requests", share * 100.0, self.requests);
+        if share > self.trace.expect.refused_share {
+            self.faults.push(format!("{:.2}% refused", share * 100.0));
+        }
+        Ok(())
+    }
+
+    fn judge_upstreams(&mut self) {
+        let truths = self.cluster.truths();
+        let foreign: u64 = truths.values().map(|truth| truth.foreign).sum();
+        let falls: u32 = truths.values().map(|truth| truth.falls).sum();
+        println!("  foreign packets {foreign}, falls {falls}");
+        if foreign > 0 {
+            self.faults.push(format!("{foreign} foreign packets"));
+        }
+        if falls > self.trace.expect.falls {
+            self.faults.push(format!("{falls} falls of upstreams"));
+        }
+        for service in &self.trace.services {
+            let own = truths.iter().filter(|(name, _)| {
+                name.rsplit_once('-').is_some_and(|(prefix, _)| *prefix == *service.name)
+            });
+            let mut busy = Vec::new();
+            for (name, truth) in own {
+                let before = self.used_before.get(name).copied().unwrap_or_default();
+                busy.push(truth.busy.saturating_sub(before).as_secs_f64());
+                if truth.most_running > service.slots {
+                    self.faults.push(format!("{name} ran {} at a time", truth.most_running));
+                }
+            }
+            let shown: Vec<String> = busy.iter().map(|busy| format!("{busy:.1}")).collect();
+            println!("  busy slot seconds of {}: {}", service.name, shown.join(" "));
+            let imbalance = quickstart::imbalance(&busy);
+            println!("  imbalance of {}: {imbalance:.3}", service.name);
+            if self.trace.expect.imbalance.is_some_and(|most| imbalance > most) {
+                self.faults.push(format!("imbalance of {} is {imbalance:.3}", service.name));
+            }
+        }
+    }
+}
+
+fn layout(service: &Service) -> ServiceLayout {
+    let upstreams = service.speeds.iter().map(|speed| Behavior {
+        service_time: Duration::from_secs_f64(service.request_ms / speed / 1000.0),
+        patience: Duration::from_millis(service.patience_ms),
+        is_constant: service.constant,
+        slots: service.slots,
+        cold_slots: service.cold_slots,
+        warming_requests: service.warming_requests,
+        ..Behavior::default()
+    });
+    ServiceLayout {
+        slots: service.slots,
+        cold_slots: service.cold_slots,
+        upstreams: upstreams.collect(),
+        ..ServiceLayout::new(&service.name, 0)
+    }
+}
+
+#[cfg(test)]
+#[path = "replay_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/xtask/src/slopes.rs
@@ -0,0 +1,317 @@
+//! What each role costs, at several sizes so that a bend shows.
+//!
+//! Bytes are those that the kernel counts on the loopback interface, processor time and memory
+//! those that it counts for the process.
+
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::process::Command as Program;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Result, ensure};
+use hyssopctl::{Client, Precondition};
+use hyssopdyke::connection::{Cache, Connection, Directory, Flow, Protocol, Table};
+use hyssopdyke::version::{Replica, Store, View};
+use hyssopdyke_wire::resource::{
+    self, Class, Entry, Kind, Listener, Resource, Service, State, Upstream, resource::Body,
+};
+use standin::{Cluster, Layout, ServiceLayout, Usage};
+
+use crate::{fake, quickstart};
+
+/// Time of a measurement at rest.
+const REST: Duration = Duration::from_secs(4);
+
+/// Changes of configuration in one measurement.
+const CHANGES: u32 = 40;
+
+/// Time that a set of daemons may take to be registered.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+pub(crate) fn command() -> Command {
+    Command::new("slopes")
+        .about("Measure what sessions, state and flows cost")
+        .arg(
+            Arg::new("sessions")
+                .long("sessions")
+                .default_value("100,400,1600")
+                .value_delimiter(',')
+                .value_parser(value_parser!(u64)),
+        )
+        .subcommand(
+            Command::new("probe")
+                .hide(true)
+                .arg(Arg::new("kind").required(true))
+                .arg(Arg::new("count").required(true).value_parser(value_parser!(u64))),
+        )
+}
+
+pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
+    if let Some(("probe", matches)) = matches.subcommand() {
+        let kind = matches.get_one::<String>("kind").map_or("", String::as_str);
+        return probe(kind, *matches.get_one::<u64>("count").unwrap_or(&0));
+    }
+    state_slopes()?;
+    service_slopes()?;
+    println!("\ncontrol with sessions (1 control VM; 2 + 1 daemons beside the fakes)");
+    println!(
+        "{:>8} {:>9} {:>10} {:>12} {:>12} {:>12} {:>12} {:>10} {:>9}",
+        "sessions",
+        "MB",
+        "cpu/s",
+        "us/renewal",
+        "B/s/session",
+        "us/chg/sess",
+        "B/chg/sess",
+        "in force",
+        "rejoin"
+    );
+    for count in matches.get_many::<u64>("sessions").unwrap_or_default() {
+        session_slope(*count)?;
+    }
+    Ok(())
+}
+
+// State and flows, each in a process of its own
+
+fn state_slopes() -> Result<()> {
+    let own = std::env::current_exe()?;
+    println!("{:<34} {:>9} {:>9} {:>11} {:>12}", "in memory", "count", "MB", "bytes each", "ms");
+    let cases: [(&str, &str, &[u64]); 4] = [
+        ("view", "copy and view of upstreams", &[500, 2000, 5900, 11_800]),
+        ("cache", "entry: cached flows", &[50_000, 200_000, 400_000]),
+        ("table", "agent: owned flows", &[500, 2000, 20_000]),
+        ("directory", "agent: flows on record", &[500, 2000, 20_000]),
+    ];
+    for (kind, name, counts) in cases {
+        for count in counts {
+            let output =
+                Program::new(&own).args(["slopes", "probe", kind, &count.to_string()]).output()?;
+            ensure!(output.status.success(), "the probe of {kind} failed");
+            let text = String::from_utf8(output.stdout)?;
+            let mut words = text.split_whitespace().map(str::parse::<f64>);
+            let (Some(Ok(bytes)), Some(Ok(micros))) = (words.next(), words.next()) else {
+                eyre::bail!("the probe printed {text:?}");
+            };
+            let each = bytes / *count as f64;
+            println!(
+                "{name:<34} {count:>9} {:>9.2} {each:>11.0} {:>12.2}",
+                bytes / 1e6,
+                micros / 1e3
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Prints the memory that a number of things takes, and the time to make them.
+fn probe(kind: &str, count: u64) -> Result<()> {
+    let before = Usage::of(std::process::id())?.memory;
+    let start = Instant::now();
+    // What is made is kept until the memory was read.
+    let kept: Box<dyn std::any::Any> = match kind {
+        "view" => Box::new(view(count)?),
+        "cache" => {
+            let mut cache = Cache::new(count as usize * 2);
+            (0..count).for_each(|flow| cache.insert(flow.wrapping_mul(0x9e37_79b9), 7));
+            Box::new(cache)
+        }
+        "table" => {
+            let mut table = Table::new();
+            (0..count).for_each(|n| table.insert(flow(n), Connection::new(1, start, true)));
+            Box::new(table)
+        }
+        "directory" => {
+            let mut directory = Directory::new();
+            (0..count).for_each(|n| {
+                directory.own(flow(n), 1, 2);
+            });
+            Box::new(directory)
+        }
+        other => eyre::bail!("no probe is named {other}"),
+    };
+    let micros = start.elapsed().as_micros();
+    println!("{} {micros}", Usage::of(std::process::id())?.memory - before);
+    drop(kept);
+    Ok(())
+}
+
+fn flow(number: u64) -> Flow {
+    let caller = Ipv4Addr::from(0x0a00_0000 + (number / 60_000) as u32);
+    Flow {
+        protocol: Protocol::Tcp,
+        caller: (caller, 1000 + (number % 60_000) as u16).into(),
+        service: (Ipv4Addr::new(10, 1, 0, 1), 80).into(),
+    }
+}
+
+/// A daemon's copy and its view, with eleven upstreams a service and an entry for each ten.
+fn view(upstreams: u64) -> Result<(Replica, View)> {
+    let mut store = Store::new();
+    let mut revision = 0;
+    let mut put = |name: String, body: Body| {
+        revision += 1;
+        store.put(Resource { name, revision, generation: revision, body: Some(body) });
+    };
+    for service in 0..upstreams.div_ceil(11) {
+        put(format!("service-{service}"), Body::Service(declared_service(service)));
+    }
+    for upstream in 0..upstreams {
+        let body = Upstream {
+            domain: format!("domain-{}", upstream % 7),
+            service: format!("service-{}", upstream / 11),
+            address: format!("10.{}.{}.7:5556", upstream / 250, upstream % 250),
+            boot: upstream + 1,
+            incarnation: 1,
+            state: State::Active as i32,
+        };
+        put(format!("upstream-{upstream}"), Body::Upstream(body));
+    }
+    for entry in 0..upstreams / 10 {
+        let address = format!("10.200.{}.{}:5556", entry / 250, entry % 250);
+        let domain = format!("domain-{}", entry % 7);
+        put(
+            format!("entry-{entry}"),
+            Body::Entry(Entry { domain, address, boot: 9, incarnation: 1 }),
+        );
+    }
+    let mut replica = Replica::new();
+    replica.apply(store.since(0, usize::MAX))?;
+    drop(store);
+    let view = View::new(replica.store());
+    Ok((replica, view))
+}
+
+fn declared_service(number: u64) -> Service {
+    let listener = Listener {
+        address: format!("10.250.{}.{}", number / 250, number % 250),
+        port: 80,
+        protocol: resource::Protocol::Tcp as i32,
+        class: Class::Request as i32,
+    };
+    Service { listeners: vec![listener], connections: 2000, slots: 5, cold_slots: 1, epoch: 0 }
+}
+
+// Real agents of one service at rest
+
+fn service_slopes() -> Result<()> {
+    println!("\nreal daemons at rest (1 control VM, 2 entries, one service)");
+    println!(
+        "{:>8} {:>12} {:>12} {:>12} {:>14}",
+        "agents", "agent cpu", "agent MB", "entry MB", "B/s a daemon"
+    );
+    let binary = quickstart::build()?.join("hyssopdyked");
+    for agents in [3, 6, 11] {
+        let folder = quickstart::folder("slopes")?;
+        let services = vec![ServiceLayout::new("dispatch", agents)];
+        let mut cluster =
+            Cluster::start(&binary, &folder, Layout { services, ..Layout::default() })?;
+        std::thread::sleep(Duration::from_secs(1));
+        let agent = cluster.process("dispatch-1")?.id();
+        let entry = cluster.process("entry-1")?.id();
+        let (before, bytes) = (Usage::of(agent)?, loopback_bytes()?);
+        std::thread::sleep(REST);
+        let after = Usage::of(agent)?;
+        let bytes = (loopback_bytes()? - bytes) as f64 / REST.as_secs_f64();
+        println!(
+            "{agents:>8} {:>11.2}% {:>12.1} {:>12.1} {:>14.0}",
+            after.cpu.saturating_sub(before.cpu).as_secs_f64() / REST.as_secs_f64() * 100.0,
+            after.memory as f64 / 1e6,
+            Usage::of(entry)?.memory as f64 / 1e6,
+            bytes / (agents as f64 + 2.0),
+        );
+    }
+    Ok(())
+}
+
+// Control with many sessions
+
+fn session_slope(count: u64) -> Result<()> {
+    let binary = quickstart::build()?.join("hyssopdyked");
+    let folder = quickstart::folder("slopes")?;
+    let services = vec![ServiceLayout::new("dispatch", 1)];
+    let mut cluster = Cluster::start(&binary, &folder, Layout { services, ..Layout::default() })?;
+    let control = cluster.process("control-1")?.id();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    let seen = Arc::new(fake::Seen::default());
+    for index in 0..count {
+        let (name, role) = fake::entry(index);
+        let address = cluster.session_address(0);
+        runtime.spawn(fake::run(address, name, role, Arc::clone(&seen)));
+    }
+    wait_registered(&cluster, count)?;
+
+    let (before, bytes, start) = (Usage::of(control)?, loopback_bytes()?, Instant::now());
+    std::thread::sleep(REST);
+    let rest = Usage::of(control)?.cpu.saturating_sub(before.cpu).as_secs_f64()
+        / start.elapsed().as_secs_f64();
+    let rest_bytes = (loopback_bytes()? - bytes) as f64 / start.elapsed().as_secs_f64();
+
+    let (before, bytes, start) = (Usage::of(control)?, loopback_bytes()?, Instant::now());
+    let slowest = change(cluster.client())?;
+    let time = start.elapsed().as_secs_f64();
+    let sessions = count as f64 + 3.0;
+    let used = Usage::of(control)?.cpu.saturating_sub(before.cpu).as_secs_f64() - rest * time;
+    let used_bytes = (loopback_bytes()? - bytes) as f64 - rest_bytes * time;
+    let per_change = f64::from(CHANGES) * sessions;
+    let memory = Usage::of(control)?.memory as f64 / 1e6;
+
+    cluster.process("control-1")?.kill()?;
+    let start = Instant::now();
+    cluster.respawn("control-1")?;
+    wait_registered(&cluster, count)?;
+    println!(
+        "{count:>8} {memory:>9.1} {:>9.1}% {:>12.1} {:>12.0} {:>12.1} {:>12.0} {:>7.0} ms {:>6.1} s",
+        rest * 100.0,
+        rest * 1e6 / sessions,
+        rest_bytes / sessions,
+        used * 1e6 / per_change,
+        used_bytes / per_change,
+        slowest.as_secs_f64() * 1000.0,
+        start.elapsed().as_secs_f64(),
+    );
+    runtime.shutdown_background();
+    Ok(())
+}
+
+/// Makes changes one after another, each in force before the next; returns the slowest.
+fn change(client: &Client) -> Result<Duration> {
+    let mut slowest = Duration::ZERO;
+    for number in 0..CHANGES {
+        let mut service = declared_service(249);
+        service.connections = 1 + number;
+        let body = Some(Body::Service(service));
+        let resource = Resource { name: "probe".into(), body, ..Resource::default() };
+        let start = Instant::now();
+        let key = Client::idempotency_key();
+        let written = client.put(Kind::Service, &resource, Precondition::None, &key)?;
+        while client.status()?.in_force < written.revision {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        slowest = slowest.max(start.elapsed());
+    }
+    Ok(slowest)
+}
+
+fn wait_registered(cluster: &Cluster, count: u64) -> Result<()> {
+    let start = Instant::now();
+    loop {
+        let status = cluster.client().status()?;
+        if status.daemons.len() as u64 >= count + 3 && status.in_force == status.revision {
+            return Ok(());
+        }
+        ensure!(start.elapsed() < PATIENCE, "{} of {count} daemons", status.daemons.len());
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Bytes that the loopback interface has carried.
+fn loopback_bytes() -> Result<u64> {
+    let text = std::fs::read_to_string(Path::new("/proc/net/dev"))?;
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    let word = line.and_then(|line| line.split_whitespace().next());
+    Ok(word.ok_or_else(|| eyre::eyre!("no loopback interface"))?.parse()?)
+}
--- /dev/null
+++ b/crates/xtask/src/throughput.rs
@@ -0,0 +1,200 @@
+//! Packets a second through an entry, and through entry and agent, beside a bare UDP relay.
+
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::Result;
+use standin::{Behavior, Cluster, Layout, Process, ServiceLayout, Upstream, Usage};
+use tokio::net::UdpSocket as AsyncSocket;
+
+use crate::{fake, quickstart};
+
+/// Bytes of the inner payload.
+const PAYLOAD_BYTES: usize = 64;
+
+/// Packets that may be on their way.
+const WINDOW: u64 = 256;
+
+/// Time after which packets on their way count as lost.
+const LOSS: Duration = Duration::from_millis(50);
+
+/// Time of one measurement.
+const LENGTH: Duration = Duration::from_secs(2);
+
+/// Measurements of each path.
+const ROUNDS: u32 = 3;
+
+/// Flows that the packets belong to.
+const FLOWS: u16 = 64;
+
+pub(crate) fn command() -> Command {
+    Command::new("throughput").about("Packets a second, as a ratio to a bare UDP relay")
+}
+
+pub(crate) fn relay_command() -> Command {
+    let address = |name| Arg::new(name).required(true).value_parser(value_parser!(SocketAddr));
+    Command::new("relay").hide(true).arg(address("listen")).arg(address("to"))
+}
+
+/// Relays datagrams in one task, with one system call for each receipt and each sending.
+pub(crate) fn relay(matches: &ArgMatches) -> Result<()> {
+    let address = |name: &str| {
+        let address = matches.get_one::<SocketAddr>(name).copied();
+        address.ok_or_else(|| eyre::eyre!("no address {name}"))
+    };
+    let (listen, to) = (address("listen")?, address("to")?);
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    runtime.block_on(async {
+        let socket = AsyncSocket::bind(listen).await?;
+        let mut buffer = [0; 4096];
+        loop {
+            socket.readable().await?;
+            while let Ok((length, _)) = socket.try_recv_from(&mut buffer) {
+                let _ = socket.try_send_to(&buffer[..length], to);
+            }
+        }
+    })
+}
+
+/// One measurement.
+struct Reading {
+    rate: f64,
+    sent: u64,
+    lost: u64,
+}
+
+/// Packets of some flows, in turn.
+fn packets(service: (std::net::Ipv4Addr, u16)) -> Result<Vec<Vec<u8>>> {
+    (0..FLOWS)
+        .map(|flow| {
+            let ip = etherparse::PacketBuilder::ipv4([10, 77, 0, 1], service.0.octets(), 64);
+            let mut bytes = Vec::new();
+            ip.udp(20_000 + flow, service.1).write(&mut bytes, &[7; PAYLOAD_BYTES])?;
+            Ok(bytes)
+        })
+        .collect()
+}
+
+/// Sends to `target` for a time, and counts what a sink takes.
+fn measure(target: SocketAddr, packets: &[Vec<u8>], sink: &Upstream) -> Result<Reading> {
+    let socket = UdpSocket::bind("127.0.0.1:0")?;
+    let (start, first) = (Instant::now(), sink.sunk());
+    let (mut sent, mut lost, mut progress) = (0_u64, 0_u64, (first, Instant::now()));
+    while start.elapsed() < LENGTH {
+        let taken = sink.sunk() - first;
+        if taken != progress.0 {
+            progress = (taken, Instant::now());
+        }
+        if sent.saturating_sub(taken + lost) < WINDOW {
+            let packet = &packets[sent as usize % packets.len()];
+            socket.send_to(packet, target)?;
+            sent += 1;
+        } else if progress.1.elapsed() > LOSS {
+            lost = sent - taken;
+        } else {
+            std::hint::spin_loop();
+        }
+    }
+    let taken = sink.sunk() - first;
+    Ok(Reading { rate: taken as f64 / start.elapsed().as_secs_f64(), sent, lost })
+}
+
+/// A system whose entry forwards to a bare socket for one service, and to an agent for another.
+struct Setup {
+    cluster: Cluster,
+    sink: Upstream,
+    relay: Process,
+    relay_address: SocketAddr,
+    _runtime: tokio::runtime::Runtime,
+}
+
+impl Setup {
+    fn start() -> Result<Self> {
+        let binary = quickstart::build()?.join("hyssopdyked");
+        let folder = quickstart::folder("throughput")?;
+        let behavior = Behavior { is_sink: true, ..Behavior::default() };
+        let mut service = ServiceLayout::new("dispatch", 1);
+        service.upstreams = vec![behavior.clone()];
+        let services = vec![service, ServiceLayout::new("bare", 0)];
+        let layout = Layout { entries: 1, services, ..Layout::default() };
+        let cluster = Cluster::start(&binary, &folder, layout)?;
+
+        let loopback = Ipv4Addr::LOCALHOST;
+        let unused = SocketAddr::from((loopback, 9));
+        let sink = Upstream::spawn("sink", loopback, unused, (loopback, &[]), behavior, 1)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+        let (name, role) = fake::upstream("bare", sink.address());
+        let seen = Arc::new(fake::Seen::default());
+        runtime.spawn(fake::run(cluster.session_address(0), name, role, seen));
+
+        let relay_address = UdpSocket::bind((loopback, 0))?.local_addr()?;
+        let own = std::env::current_exe()?;
+        let arguments = ["relay".to_owned(), relay_address.to_string(), sink.address().to_string()];
+        let relay = Process::spawn(&own, arguments, folder.join("relay.log"))?;
+        // The entry has to learn of the bare upstream, and the relay to bind its socket.
+        std::thread::sleep(Duration::from_millis(500));
+        Ok(Self { cluster, sink, relay, relay_address, _runtime: runtime })
+    }
+
+    /// Processor time of a process for each packet that was sent while `measure` ran.
+    fn cost(
+        pids: &[u32],
+        measure: impl FnOnce() -> Result<Reading>,
+    ) -> Result<(Reading, Vec<f64>)> {
+        let before = pids.iter().map(|pid| Usage::of(*pid)).collect::<Result<Vec<_>, _>>()?;
+        let reading = measure()?;
+        let sent = reading.sent.max(1) as f64;
+        let costs = pids.iter().zip(before).map(|(pid, before)| {
+            let used = Usage::of(*pid)?.cpu.saturating_sub(before.cpu);
+            Ok(used.as_secs_f64() * 1e6 / sent)
+        });
+        let costs = costs.collect::<Result<Vec<_>>>()?;
+        Ok((reading, costs))
+    }
+}
+
+pub(crate) fn run(_: &ArgMatches) -> Result<()> {
+    let mut setup = Setup::start()?;
+    let through_agent = packets(setup.cluster.stream_address(0))?;
+    let through_entry = packets(setup.cluster.stream_address(1))?;
+    let entry = setup.cluster.process("entry-1")?.id();
+    let agent = setup.cluster.process("dispatch-1")?.id();
+    let target = setup.cluster.entry_address(0);
+    println!(
+        "{:<18} {:>12} {:>8} {:>8}  processor time a packet",
+        "path", "packets/s", "ratio", "lost"
+    );
+    let (mut bare, mut alone, mut both) = (0.0, 0.0, 0.0);
+    for _ in 0..ROUNDS {
+        let (reading, cost) = Setup::cost(&[setup.relay.id()], || {
+            measure(setup.relay_address, &through_entry, &setup.sink)
+        })?;
+        let first = reading.rate;
+        bare += first;
+        print("bare relay", &reading, first, &cost);
+        let (reading, cost) =
+            Setup::cost(&[entry], || measure(target, &through_entry, &setup.sink))?;
+        alone += reading.rate;
+        print("entry", &reading, first, &cost);
+        let sink = setup.cluster.upstream("dispatch-1")?;
+        let (reading, cost) =
+            Setup::cost(&[entry, agent], || measure(target, &through_agent, sink))?;
+        both += reading.rate;
+        print("entry and agent", &reading, first, &cost);
+    }
+    println!(
+        "over the bare relay, {ROUNDS} rounds: entry {:.2}, entry and agent {:.2}",
+        alone / bare,
+        both / bare
+    );
+    Ok(())
+}
+
+fn print(path: &str, reading: &Reading, bare: f64, cost: &[f64]) {
+    let Reading { rate, lost, .. } = reading;
+    let cost: Vec<String> = cost.iter().map(|cost| format!("{cost:.2} us")).collect();
+    println!("{path:<18} {rate:>12.0} {:>8.2} {lost:>8}  {}", rate / bare, cost.join(" + "));
+}
