fix(agent): flows survive several agents that restart at once

Cause 1: a flow was known to its owner and one holder; where both restarted at the same time it was lost. An agent that stops now tells every other member all that it knows, takes no new flows, and superfluous records are pruned later. Cause 2: an agent that had restarted reported 'no flows' before it had taken its own back, so a home that restarted with it answered one with a reset. A report now has two stages: records of others' flows at once, own flows once the others' records have come. Cause 3: the timer of the graceful stop began anew with each packet, so that under traffic no report was sent within its second. Ruled out: lost datagrams (reports were never sent), pruning (12 flows were missing before any record was pruned).

--- /dev/null
+++ b/crates/hyssopdyke/src/connection/half.rs
@@ -0,0 +1,44 @@
+//! One direction of a TCP connection.
+
+use crate::request::Segment;
+
+/// What the packets of one end have shown.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Half {
+    /// Next sequence number of the sender.
+    pub(super) next: Option<u32>,
+    /// Sequence number after the sender's FIN.
+    pub(super) fin: Option<u32>,
+    /// Highest acknowledgement from the other end.
+    pub(super) acknowledged: Option<u32>,
+}
+
+impl Half {
+    pub(super) fn sent(&mut self, segment: &Segment) {
+        let next = segment.next();
+        if self.next.is_none_or(|known| is_after(next, known)) {
+            self.next = Some(next);
+        }
+        if segment.fin {
+            self.fin = Some(next);
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, number: u32) {
+        if self.acknowledged.is_none_or(|known| is_after(number, known)) {
+            self.acknowledged = Some(number);
+        }
+    }
+
+    pub(super) fn is_finished(&self) -> bool {
+        match (self.fin, self.acknowledged) {
+            (Some(fin), Some(acknowledged)) => !is_after(fin, acknowledged),
+            _ => false,
+        }
+    }
+}
+
+/// Whether sequence number `a` follows `b`, modulo 2^32.
+const fn is_after(a: u32, b: u32) -> bool {
+    a.wrapping_sub(b).cast_signed() > 0
+}
--- a/crates/hyssopdyke/src/connection/mod.rs
+++ b/crates/hyssopdyke/src/connection/mod.rs
@@ -3,9 +3,12 @@
 mod cache;
 mod directory;
 mod flow;
+mod half;
+mod state;
 mod table;
 
 pub use cache::Cache;
 pub use directory::{Directory, Offer, Record};
 pub use flow::{Error, Flow, Protocol};
-pub use table::{Connection, Ends, Event, Table};
+pub use state::{Event, State};
+pub use table::{Ends, Table};
--- /dev/null
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -0,0 +1,167 @@
+//! The state of one flow, as its owner sees it from both directions.
+
+use std::time::{Duration, Instant};
+
+use super::half::Half;
+use crate::request::Segment;
+
+/// What a packet changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// The upstream has taken the connection, after this time.
+    Opened(Duration),
+    /// The upstream has finished its answer, this time after it was asked.
+    Answered(Duration),
+    /// The upstream has reset the connection before it finished its answer.
+    Failed,
+}
+
+/// State of one flow at its owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct State {
+    /// Initial sequence number of the caller; 0 for UDP.
+    pub isn: u32,
+    /// When the flow was admitted.
+    pub since: Instant,
+    pub(super) caller: Half,
+    pub(super) upstream: Half,
+    pub(super) caller_heard: Instant,
+    pub(super) upstream_heard: Instant,
+    pub(super) probed: Option<Instant>,
+    pub(super) probes: u32,
+    /// First bytes of the caller.
+    asked: Option<Instant>,
+    /// The upstream has not been heard since the flow was adopted.
+    pub(super) unverified: bool,
+    opened: bool,
+    pub(super) slot: bool,
+    pub(super) closed: Option<Instant>,
+}
+
+impl State {
+    /// A flow that is admitted now; `slot` tells whether it holds one of the upstream's slots.
+    #[must_use]
+    pub fn new(isn: u32, now: Instant, slot: bool) -> Self {
+        Self {
+            isn,
+            since: now,
+            caller: Half::default(),
+            upstream: Half::default(),
+            caller_heard: now,
+            upstream_heard: now,
+            probed: None,
+            probes: 0,
+            asked: None,
+            unverified: false,
+            opened: false,
+            slot,
+            closed: None,
+        }
+    }
+
+    /// A flow that a former process of this agent admitted: it is open and its numbers unknown.
+    #[must_use]
+    pub fn adopted(isn: u32, now: Instant, slot: bool) -> Self {
+        Self { opened: true, unverified: true, ..Self::new(isn, now, slot) }
+    }
+
+    /// Whether both ends have finished, or one has reset the connection.
+    #[must_use]
+    pub const fn is_closed(&self) -> bool {
+        self.closed.is_some()
+    }
+
+    /// Whether the flow holds a slot.
+    #[must_use]
+    pub const fn has_slot(&self) -> bool {
+        self.slot
+    }
+
+    /// Whether the upstream has answered.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.opened
+    }
+
+    pub(super) fn inbound(&mut self, segment: Option<&Segment>, now: Instant) {
+        self.caller_heard = now;
+        let Some(segment) = segment else { return };
+        if segment.rst {
+            self.reset_by_caller(segment, now);
+            return;
+        }
+        if segment.length > 0 && self.asked.is_none() {
+            self.asked = Some(now);
+        }
+        self.caller.sent(segment);
+        if let Some(number) = segment.acknowledgement {
+            self.upstream.acknowledge(number);
+        }
+        self.close_finished(now);
+    }
+
+    /// A reset counts only at the number that the upstream expects (RFC 5961 section 3.2), since
+    /// the upstream ignores any other and keeps the connection.
+    fn reset_by_caller(&mut self, segment: &Segment, now: Instant) {
+        let expected = [self.caller.next, self.caller.acknowledged];
+        if !self.opened || expected.contains(&Some(segment.sequence)) {
+            self.close(now);
+        }
+    }
+
+    pub(super) fn outbound(&mut self, segment: Option<&Segment>, now: Instant) -> Option<Event> {
+        self.upstream_heard = now;
+        let was_unverified = std::mem::replace(&mut self.unverified, false);
+        let age = now.duration_since(self.since);
+        let Some(segment) = segment else {
+            self.opened = true;
+            return self.release_slot().then_some(Event::Answered(age));
+        };
+        if segment.rst {
+            let unfinished = self.upstream.fin.is_none() && self.caller.fin.is_none();
+            // An adopted flow that the upstream does not hold has ended before it was adopted.
+            let failed = !self.is_closed() && !was_unverified && (unfinished || self.slot);
+            self.close(now);
+            return failed.then_some(Event::Failed);
+        }
+        self.upstream.sent(segment);
+        if let Some(number) = segment.acknowledgement {
+            self.caller.acknowledge(number);
+        }
+        let event = if segment.fin && self.release_slot() {
+            // The handshake is no part of the upstream's work.
+            let asked = self.asked.unwrap_or(self.since);
+            Some(Event::Answered(now.duration_since(asked)))
+        } else if segment.syn && !std::mem::replace(&mut self.opened, true) {
+            Some(Event::Opened(age))
+        } else {
+            None
+        };
+        self.close_finished(now);
+        event
+    }
+
+    fn release_slot(&mut self) -> bool {
+        std::mem::replace(&mut self.slot, false)
+    }
+
+    fn close_finished(&mut self, now: Instant) {
+        if self.caller.is_finished() && self.upstream.is_finished() {
+            self.close(now);
+        }
+    }
+
+    pub(super) fn close(&mut self, now: Instant) {
+        self.slot = false;
+        self.closed = self.closed.or(Some(now));
+    }
+
+    /// Probes since both ends were last heard.
+    pub(super) fn unanswered_probes(&self) -> u32 {
+        let heard = self.caller_heard.min(self.upstream_heard);
+        match self.probed {
+            Some(probed) if probed > heard => self.probes,
+            _ => 0,
+        }
+    }
+}
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyssopdyke::connection::{Cache, Connection, Directory, Event, Flow, Offer, Protocol, Table};
+use hyssopdyke::connection::{self, Cache, Directory, Event, Flow, Offer, Protocol, Table};
 use hyssopdyke::request::{Packet, Refusal, Reset, Segment};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -32,7 +32,7 @@
 /// A table with one request, established and asked, whose initial numbers are 100 and 500.
 fn asked(start: Instant) -> Table {
     let mut table = Table::new();
-    table.insert(flow(1), Connection::new(100, start, true));
+    table.insert(flow(1), connection::State::new(100, start, true));
     assert!(table.inbound(&flow(1), Some(&segment(100, None, "S", 0)), start));
     let event = table.outbound(&flow(1), Some(&segment(500, Some(101), "S", 0)), start + SECOND);
     assert_eq!(event, Some(Some(Event::Opened(SECOND))));
@@ -98,7 +98,7 @@
 fn table_adopted() {
     let start = Instant::now();
     let mut table = Table::new();
-    table.insert(flow(1), Connection::adopted(100, start, true));
+    table.insert(flow(1), connection::State::adopted(100, start, true));
     assert_eq!(table.unverified(), [flow(1)]);
     let probe = table.probe(&flow(1), start).unwrap();
     assert_eq!(probe.upstream.map(|probe| probe.sequence), Some(101));
@@ -123,7 +123,7 @@
                 let sequence = u32::from(source.arbitrary::<u8>()?);
                 let segment = segment(sequence, acknowledgement, flags, 3);
                 match source.int_in_range(0..=4)? {
-                    0 => table.insert(flow, Connection::new(1, now, source.arbitrary()?)),
+                    0 => table.insert(flow, connection::State::new(1, now, source.arbitrary()?)),
                     1 => drop(table.remove(&flow)),
                     2 => drop(table.inbound(&flow, Some(&segment), now)),
                     3 => drop(table.outbound(&flow, Some(&segment), now)),
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyssopdyke::connection::{Connection, Event, Flow, Protocol};
+use hyssopdyke::connection::{self, Event, Flow, Protocol};
 use hyssopdyke::request::{Packet, Reset};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{
@@ -90,7 +90,7 @@
         }
         self.check_room(home, &flow, is_request)?;
         let isn = packet.segment.map_or(0, |segment| segment.sequence);
-        self.table.insert(flow, Connection::new(isn, now, is_request));
+        self.table.insert(flow, connection::State::new(isn, now, is_request));
         debug!(self.events.logger(), "flow admitted"; "flow" => %flow,
             "connections" => self.table.connections(), "slots" => self.table.slots());
         self.metrics.count("admitted");
@@ -105,7 +105,7 @@
         if pool.top(hash).0 != Some(home) {
             return Err(Reason::NotHome);
         }
-        if pool.member(self.me).is_none_or(|member| member.draining) {
+        if self.is_leaving || pool.member(self.me).is_none_or(|member| member.draining) {
             return Err(Reason::Draining);
         }
         let is_ejected = self.limit.is_ejected(Instant::now());
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use hyssopdyke::connection::{self, Connection, Flow};
+use hyssopdyke::connection::{self, Flow};
+use hyssopdyke::process::Barrier;
 use hyssopdyke::version::Pool;
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{Record, Report, Reported, datagram::Body};
+use hyssopdyke_wire::datagram::{Record, Report, Reported, Stage, datagram::Body};
 use slog::{debug, info};
 
 use super::worker::{Increment, Worker};
@@ -17,18 +18,28 @@
 impl Worker {
     /// Whether every other member has reported the flows whose home this agent is.
     pub(super) fn knows_all_flows(&self) -> bool {
+        self.knows_records() && self.has_all(&self.own_barrier)
+    }
+
+    /// Whether every other member has reported its records of this agent's flows.
+    fn knows_records(&self) -> bool {
+        self.has_all(&self.records_barrier)
+    }
+
+    fn has_all(&self, barrier: &Barrier) -> bool {
         let Some(pool) = &self.pool else {
             return false;
         };
         let others = pool.members.iter().map(|member| member.vm).filter(|vm| *vm != self.me);
-        self.barrier.is_complete(pool.epoch, others)
+        barrier.is_complete(pool.epoch, others)
     }
 
     /// Reports all flows anew, since homes have moved.
     pub(super) fn epoch_changed(&mut self, pool: &Pool) {
         self.peers.follow(pool);
         self.draw.retain(|vm| pool.member(vm).is_some());
-        self.barrier.retain(|vm| pool.member(vm).is_some());
+        self.records_barrier.retain(|vm| pool.member(vm).is_some());
+        self.own_barrier.retain(|vm| pool.member(vm).is_some());
         self.outbox.retain(|_, _| false);
         self.increments.clear();
         self.mark_absent();
@@ -40,37 +51,97 @@
         }
         let me = self.me;
         for member in pool.members.iter().filter(|member| member.vm != me) {
-            self.report_all(pool, member.vm);
+            let records = self.records_for(pool, member.vm);
+            self.report_all(pool, member.vm, Stage::Records, &records);
+        }
+        if !self.is_fresh {
+            self.report_own(pool);
         }
+        if self.is_leaving {
+            self.report_farewell();
+        }
+        self.must_prune = true;
         self.release_held();
     }
 
-    fn report_all(&mut self, pool: &Pool, to: vm::Id) {
-        let records = self.records_for(pool, to);
+    /// Tells every other member all that this agent knows, before it stops.
+    ///
+    /// Several agents may stop at the same time, a flow's owner and its holder among them.
+    pub(super) fn report_farewell(&mut self) {
+        let Some(pool) = self.pool.clone() else { return };
+        let own = self.table.iter().filter(|(_, state)| !state.is_closed());
+        let own = own.map(|(flow, state)| self.record(flow, state.isn));
+        let held = self.directory.iter().filter_map(|(flow, record)| match record {
+            connection::Record::Owned { owner, isn, .. } => {
+                Some(Record { flow: Some((*flow).into()), isn: *isn, owner: *owner })
+            }
+            connection::Record::Offered(_) => None,
+        });
+        let records: Vec<Record> = own.chain(held).collect();
+        let me = self.me;
+        for member in pool.members.iter().filter(|member| member.vm != me) {
+            for chunk in records.chunks(RECORDS) {
+                let (epoch, opened) = (pool.epoch, chunk.to_vec());
+                self.outbox.push(member.vm, |sequence| Report {
+                    sequence,
+                    epoch,
+                    opened,
+                    ..Report::default()
+                });
+            }
+        }
+    }
+
+    /// Drops the records of others' flows that other members keep, once these know them.
+    pub(super) fn prune(&mut self) {
+        let Some(pool) = self.pool.clone() else { return };
+        if !self.must_prune || !self.outbox.is_empty() || !self.knows_all_flows() {
+            return;
+        }
+        self.must_prune = false;
+        let (me, keys) = (self.me, self.keys);
+        self.directory.retain(|flow, record| match record {
+            connection::Record::Owned { owner, absent: None, .. } => {
+                pool.is_holder(flow.hash(keys), *owner, me)
+            }
+            _ => true,
+        });
+    }
+
+    /// Reports this agent's flows to the members that keep records of them.
+    fn report_own(&mut self, pool: &Pool) {
+        let me = self.me;
+        for member in pool.members.iter().filter(|member| member.vm != me) {
+            let own = self.table.iter().filter(|(flow, state)| {
+                !state.is_closed() && pool.is_holder(self.hash(flow), me, member.vm)
+            });
+            let own: Vec<Record> = own.map(|(flow, state)| self.record(flow, state.isn)).collect();
+            self.report_all(pool, member.vm, Stage::Own, &own);
+        }
+    }
+
+    fn report_all(&mut self, pool: &Pool, to: vm::Id, stage: Stage, records: &[Record]) {
         let parts = records.len().div_ceil(RECORDS).max(1) as u32;
         let mut chunks = records.chunks(RECORDS);
         for part in 0..parts {
             let opened = chunks.next().unwrap_or_default().to_vec();
-            let epoch = pool.epoch;
+            let (epoch, stage) = (pool.epoch, stage as i32);
             self.outbox.push(to, |sequence| Report {
                 sequence,
                 epoch,
                 opened,
-                ended: Vec::new(),
                 part,
                 parts,
+                stage,
+                ..Report::default()
             });
         }
     }
 
-    /// What a member must know: the flows of this agent that it holds records of, the flows that
-    /// it owns itself and may have forgotten, and the flows of missing owners whose home it is.
+    /// What a member must know besides this agent's flows: the flows that it owns itself and may
+    /// have forgotten, and the flows of missing owners whose home it is.
     fn records_for(&self, pool: &Pool, to: vm::Id) -> Vec<Record> {
-        let own = self.table.iter().filter(|(_, connection)| !connection.is_closed());
-        let own = own
-            .filter(|(flow, _)| pool.is_holder(self.hash(flow), self.me, to))
-            .map(|(flow, connection)| self.record(flow, connection.isn));
-        let others = self.directory.iter().filter_map(|(flow, record)| match record {
+        let records = self.directory.iter().filter_map(|(flow, record)| match record {
             connection::Record::Owned { owner, isn, absent } => {
                 let is_lost = absent.is_some() && pool.top(self.hash(flow)).0 == Some(to);
                 (*owner == to || is_lost).then(|| Record {
@@ -81,7 +152,7 @@
             }
             connection::Record::Offered(_) => None,
         });
-        own.chain(others).collect()
+        records.collect()
     }
 
     /// Notes a flow for the report to the member that must know of it besides the home.
@@ -128,8 +199,7 @@
                     epoch,
                     opened,
                     ended,
-                    part: 0,
-                    parts: 0,
+                    ..Report::default()
                 });
             }
         }
@@ -170,10 +240,13 @@
             }
         }
         self.send_to(from, Body::Reported(Reported { sequence: report.sequence }));
-        if report.parts > 0 {
-            self.barrier.arrive(sender, report.epoch, report.part, report.parts);
-            self.release_held();
-        }
+        let barrier = match report.stage() {
+            Stage::Records => &mut self.records_barrier,
+            Stage::Own => &mut self.own_barrier,
+            Stage::Unspecified => return,
+        };
+        barrier.arrive(sender, report.epoch, report.part, report.parts);
+        self.release_held();
     }
 
     fn note_record(&mut self, pool: &Pool, record: &Record) {
@@ -187,6 +260,8 @@
             return;
         }
         self.owned(flow, record.owner, record.isn);
+        // A farewell brings records that are not this agent's to keep for long.
+        self.must_prune |= !pool.is_holder(self.hash(&flow), record.owner, self.me);
         if pool.member(record.owner).is_none() {
             self.mark_absent();
         }
@@ -202,34 +277,29 @@
             return;
         };
         // Whether the request still runs is unknown; its slot is taken until it has ended.
-        let connection = Connection::adopted(isn, Instant::now(), service.is_request);
+        let connection = connection::State::adopted(isn, Instant::now(), service.is_request);
         debug!(self.events.logger(), "flow adopted"; "flow" => %flow);
         self.metrics.count("adopted");
         self.table.insert(flow, connection);
     }
 
-    /// Serves the packets that waited, once every member has reported.
+    /// Goes on where it had to wait for the reports of other members.
     fn release_held(&mut self) {
-        if !self.is_member || !self.knows_all_flows() {
+        if !self.is_member || !self.knows_records() {
             return;
         }
         if self.is_fresh {
             self.is_fresh = false;
             info!(self.events.logger(), "flows taken over"; "flows" => self.table.len());
-            self.report_adopted();
+            if let Some(pool) = self.pool.clone() {
+                self.report_own(&pool);
+            }
             self.verify_adopted(Instant::now());
         }
-        for (forward, from) in std::mem::take(&mut self.held) {
-            self.forwarded(forward, from);
-        }
-    }
-
-    /// Reports the adopted flows to their holders, which were told of none by the first report.
-    fn report_adopted(&mut self) {
-        let adopted: Vec<_> =
-            self.table.iter().map(|(flow, connection)| (*flow, connection.isn)).collect();
-        for (flow, isn) in adopted {
-            self.note_opened(&flow, self.me, isn);
+        if self.knows_all_flows() {
+            for (forward, from) in std::mem::take(&mut self.held) {
+                self.forwarded(forward, from);
+            }
         }
     }
 }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -64,6 +64,7 @@
 }
 
 /// All state of an agent.
+#[allow(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 pub(super) struct Worker {
     pub(super) me: vm::Id,
     pub(super) boot: u64,
@@ -79,12 +80,19 @@
     pub(super) pool: Option<Arc<Pool>>,
     /// The agent is one of the members.
     pub(super) is_member: bool,
+    /// The process is about to stop and takes no new flows.
+    pub(super) is_leaving: bool,
+    /// Records that are not this agent's to keep may be in the directory.
+    pub(super) must_prune: bool,
     /// The process has not yet been told which flows its upstream holds.
     pub(super) is_fresh: bool,
     pub(super) peers: Peers,
     pub(super) table: Table,
     pub(super) directory: Directory,
-    pub(super) barrier: Barrier,
+    /// Members that have reported their records of others' flows.
+    pub(super) records_barrier: Barrier,
+    /// Members that have reported their own flows.
+    pub(super) own_barrier: Barrier,
     pub(super) outbox: Outbox<Report>,
     pub(super) increments: HashMap<vm::Id, Increment>,
     pub(super) held: VecDeque<(Forward, SocketAddr)>,
@@ -118,11 +126,14 @@
             events,
             pool: None,
             is_member: false,
+            is_leaving: false,
+            must_prune: false,
             is_fresh: true,
             peers: Peers::default(),
             table: Table::new(),
             directory: Directory::new(),
-            barrier: Barrier::new(),
+            records_barrier: Barrier::new(),
+            own_barrier: Barrier::new(),
             outbox: Outbox::new(REPORT_INTERVAL, REPORT_WINDOW),
             increments: HashMap::new(),
             held: VecDeque::new(),
@@ -154,8 +165,11 @@
 
     /// Serves on until the other members know of all flows, for a graceful stop.
     pub(super) async fn finish(&mut self, session: &mut Session) -> Result<()> {
+        let mut ticks = interval(TICK);
         let all_reported = async {
+            self.is_leaving = true;
             self.flush_increments();
+            self.report_farewell();
             while !self.outbox.is_empty() {
                 tokio::select! {
                     ready = self.link.readable() => { ready?; self.receive_batch()?; }
@@ -165,7 +179,7 @@
                             self.view_changed();
                         }
                     }
-                    () = tokio::time::sleep(TICK) => self.tick(),
+                    _ = ticks.tick() => self.tick(),
                 }
             }
             Ok(())
@@ -368,6 +382,7 @@
     fn tick(&mut self) {
         self.flush_increments();
         self.send_reports();
+        self.prune();
         if self.may_act(Instant::now()) {
             self.retry_offers();
         }
--- /dev/null
+++ b/crates/hyssopdyked/src/control/consensus/voters.rs
@@ -0,0 +1,137 @@
+//! Who votes, and how that changes.
+
+use std::net::SocketAddr;
+
+use hyssopdyke_wire::ledger::{Command, Configuration, Entry, Voter, command};
+use slog::info;
+
+use super::{Consensus, Follower, Reply, Role};
+use crate::control::handle::Error;
+
+impl Consensus {
+    /// Takes the configuration from the last entry that has one, or from the snapshot.
+    pub(super) fn find_configuration(&mut self) {
+        let snapshot = self.journal.snapshot();
+        let mut found = (snapshot.index, snapshot.configuration.clone().unwrap_or_default());
+        for entry in self.journal.entries() {
+            if let Some(configuration) = configuration(entry) {
+                found = (entry.index, configuration.clone());
+            }
+        }
+        (self.configuration_index, self.configuration) = found;
+        self.follow_configuration();
+    }
+
+    pub(super) fn follow_configuration(&mut self) {
+        let known: Vec<SocketAddr> = self
+            .configuration
+            .voters
+            .iter()
+            .filter_map(|voter| voter.address.parse().ok())
+            .collect();
+        if let Role::Leader { followers, .. } = &mut self.role {
+            let last = self.journal.last_index();
+            for voter in &self.configuration.voters {
+                if *voter.name == *self.name {
+                    continue;
+                }
+                let Ok(address) = voter.address.parse() else { continue };
+                followers
+                    .entry(voter.name.as_str().into())
+                    .or_insert_with(|| Follower::new(address, last));
+            }
+        } else {
+            let peers: Vec<SocketAddr> = self.peers.values().copied().collect();
+            self.outgoing.retain(|address| known.contains(address) || peers.contains(address));
+        }
+    }
+
+    pub(super) fn voter(&self, name: &str) -> Option<&Voter> {
+        self.configuration.voters.iter().find(|voter| voter.name == name)
+    }
+
+    /// Whether a VM votes with this identity.
+    pub(super) fn has_vote(&self, name: &str, identity: u64) -> bool {
+        self.voter(name).is_some_and(|voter| voter.identity == identity)
+    }
+
+    pub(super) fn may_vote(&self) -> bool {
+        self.has_vote(&self.name, self.identity)
+    }
+
+    pub(super) const fn majority(&self) -> usize {
+        self.configuration.voters.len() / 2 + 1
+    }
+
+    /// Gives a VM a vote, once it has all entries.
+    pub(super) fn admit(&mut self, voter: &Voter, reply: Reply<()>) {
+        let last = self.journal.last_index();
+        let answer = match (&mut self.role, voter.address.parse()) {
+            (Role::Leader { followers, .. }, Ok(address)) => {
+                followers
+                    .entry(voter.name.as_str().into())
+                    .or_insert_with(|| Follower::new(address, last));
+                Ok(())
+            }
+            _ => Err(Error::NotLeader(self.leader.clone())),
+        };
+        let _ = reply.send(answer);
+    }
+
+    pub(super) fn remove(&mut self, name: &str, reply: Reply<()>) {
+        let answer = if !matches!(self.role, Role::Leader { .. }) {
+            Err(Error::NotLeader(self.leader.clone()))
+        } else if self.commit < self.configuration_index {
+            Err(Error::Busy)
+        } else {
+            let mut voters = self.configuration.voters.clone();
+            voters.retain(|voter| voter.name != name);
+            if let Role::Leader { followers, .. } = &mut self.role {
+                followers.remove(name);
+            }
+            self.change_voters(voters);
+            Ok(())
+        };
+        let _ = reply.send(answer);
+    }
+
+    pub(super) fn change_voters(&mut self, voters: Vec<Voter>) {
+        let names: Vec<_> = voters.iter().map(|voter| voter.name.clone()).collect();
+        info!(self.events.logger(), "voters change"; "voters" => names.join(" "));
+        let body = command::Body::Configuration(Configuration { voters });
+        self.append(Command { body: Some(body) });
+    }
+
+    /// Records the identity of a VM that has all entries but no vote.
+    pub(super) fn admit_caught_up(&mut self) {
+        if self.commit < self.configuration_index {
+            return;
+        }
+        let Role::Leader { followers, .. } = &self.role else { return };
+        let last = self.journal.last_index();
+        let caught_up = followers.iter().find_map(|(name, follower)| {
+            let identity = follower.identity?;
+            let is_due = follower.matched == last && !self.has_vote(name, identity);
+            is_due.then(|| Voter {
+                name: name.to_string(),
+                identity,
+                address: follower.address.to_string(),
+            })
+        });
+        if let Some(admitted) = caught_up {
+            let mut voters = self.configuration.voters.clone();
+            voters.retain(|voter| voter.name != admitted.name);
+            voters.push(admitted);
+            voters.sort_by(|a, b| a.name.cmp(&b.name));
+            self.change_voters(voters);
+        }
+    }
+}
+
+/// The configuration that an entry holds.
+fn configuration(entry: &Entry) -> Option<&Configuration> {
+    match entry.command.as_ref()?.body.as_ref()? {
+        command::Body::Configuration(configuration) => Some(configuration),
+        _ => None,
+    }
+}
--- a/crates/hyssopdyked/tests/flows.rs
+++ b/crates/hyssopdyked/tests/flows.rs
@@ -58,6 +58,28 @@
     bench.assert_sound();
 }
 
+#[test]
+fn flows_allagentsrestart() {
+    let mut bench = Bench::single("flows_allagentsrestart", 3);
+    let names = ["dispatch-1", "dispatch-2", "dispatch-3"];
+    bench.streams(30, 8 * SECOND);
+    bench.wait_established(30);
+    // Two of three stop at once, then the third and the first.
+    for stopped in [&names[..2], &[names[2], names[0]]] {
+        for name in stopped {
+            bench.cluster.process(name).unwrap().terminate().unwrap();
+        }
+        for name in stopped {
+            bench.cluster.process(name).unwrap().wait(PATIENCE).unwrap();
+            bench.cluster.respawn(name).unwrap();
+        }
+        bench.cluster.wait_in_force(PATIENCE).unwrap();
+        std::thread::sleep(SECOND);
+    }
+    assert_eq!(bench.finish(), whole(30));
+    bench.assert_sound();
+}
+
 #[test]
 fn flows_agentskilled() {
     let mut bench = Bench::single("flows_agentskilled", 3);
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -12,7 +12,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, ensure};
 use hyssopctl::{Client, Precondition};
-use hyssopdyke::connection::{Cache, Connection, Directory, Flow, Protocol, Table};
+use hyssopdyke::connection::{self, Cache, Directory, Flow, Protocol, Table};
 use hyssopdyke::version::{Replica, Store, View};
 use hyssopdyke_wire::resource::{
     self, Class, Entry, Kind, Listener, Resource, Service, State, Upstream, resource::Body,
@@ -120,7 +120,7 @@
         }
         "table" => {
             let mut table = Table::new();
-            (0..count).for_each(|n| table.insert(flow(n), Connection::new(1, start, true)));
+            (0..count).for_each(|n| table.insert(flow(n), connection::State::new(1, start, true)));
             Box::new(table)
         }
         "directory" => {
