perf: many changes at once cost a daemon one view, and control one sync

Cause: the view of 5,900 upstreams takes 20 ms to make (cargo xtask slopes), and a failure domain of 930 daemons that is lost gave 930 revisions, each proposed alone and each followed by a view. Proposals of ended leases now go together, and a daemon takes in all pages that wait before it makes its view.

--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -152,7 +152,7 @@
                 ready = self.link.readable() => { ready?; self.receive_batch()?; }
                 ready = self.answers.readable() => { ready?; self.answer_batch()?; }
                 Some(update) = session.update() => {
-                    if self.membership.update(update) {
+                    if self.membership.update(update, session) {
                         self.view_changed();
                     }
                 }
@@ -175,7 +175,7 @@
                     ready = self.link.readable() => { ready?; self.receive_batch()?; }
                     ready = self.answers.readable() => { ready?; self.answer_batch()?; }
                     Some(update) = session.update() => {
-                        if self.membership.update(update) {
+                        if self.membership.update(update, session) {
                             self.view_changed();
                         }
                     }
--- a/crates/hyssopdyked/src/control/leases.rs
+++ b/crates/hyssopdyked/src/control/leases.rs
@@ -128,10 +128,12 @@
         let since = handle.leadership.borrow().since;
         let Some(since) = since else { continue };
         let ended = leases.ended(handle.registry().await.store(), since.max(thawed), now);
-        for unregister in ended {
+        for unregister in &ended {
             info!(events.logger(), "lease ended"; "daemon" => unregister.name.as_str());
-            // Without a majority the daemon stays on record, and is looked at again.
-            let _ = handle.propose(command::Body::Unregister(unregister)).await;
         }
+        // Many leases may end at once with a failure domain; they share a sync of the log. Without
+        // a majority the daemons stay on record, and are looked at again.
+        let proposals = ended.into_iter().map(|one| handle.propose(command::Body::Unregister(one)));
+        futures_util::future::join_all(proposals).await;
     }
 }
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -62,7 +62,7 @@
             tokio::select! {
                 ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
                 ready = self.link.readable() => { ready?; self.receive_batch()?; }
-                Some(update) = session.update() => { self.membership.update(update); }
+                Some(update) = session.update() => { self.membership.update(update, session); }
                 _ = ticks.tick() => self.tick(),
             }
             session.report(self.membership.revision(), Usage::default());
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -10,7 +10,7 @@
 use hyssopdyke_wire::resource::Page;
 use slog::{debug, info};
 
-use super::{Link, Update};
+use super::{Link, Session, Update};
 use crate::log::Events;
 
 /// Length of a lease until control names another.
@@ -67,15 +67,23 @@
         self.lease.is_valid(now) && self.view.is_registered(self.boot)
     }
 
-    /// Takes in an update of control; true if the view has changed.
-    pub(crate) fn update(&mut self, update: Update) -> bool {
-        match update {
-            Update::Granted { sent, length } => {
-                self.lease.grant(sent, length);
-                false
+    /// Takes in an update of control and those that wait behind it; true if the view has changed.
+    ///
+    /// The view is made once for all of them, since many changes may come at a time.
+    pub(crate) fn update(&mut self, first: Update, session: &mut Session) -> bool {
+        let mut next = Some(first);
+        let mut is_newer = false;
+        while let Some(update) = next {
+            match update {
+                Update::Granted { sent, length } => self.lease.grant(sent, length),
+                Update::Page(page) => is_newer |= self.take_in(page),
             }
-            Update::Page(page) => self.apply(page),
+            next = session.try_update();
         }
+        if is_newer {
+            self.renew_view();
+        }
+        is_newer
     }
 
     /// Pulls from a peer whose message shows a newer revision.
@@ -98,7 +106,10 @@
     /// Takes in a page of a peer; true if the view has changed.
     pub(crate) fn receive(&mut self, link: &mut Link, from: SocketAddr, page: Page) -> bool {
         let is_last = page.complete;
-        let changed = self.apply(page);
+        let changed = self.take_in(page);
+        if changed {
+            self.renew_view();
+        }
         if !is_last {
             self.pull(link, from);
         }
@@ -144,19 +155,17 @@
         link.send(&self.message(Body::Pull(pull)), from);
     }
 
-    fn apply(&mut self, page: Page) -> bool {
-        match self.replica.apply(page) {
-            Ok(true) => {
-                self.view = Arc::new(View::new(self.replica.store()));
-                self.events.set_revision(self.revision());
-                info!(self.events.logger(), "revision in use");
-                true
-            }
-            Ok(false) => false,
-            Err(gap) => {
-                debug!(self.events.logger(), "page refused"; "reason" => %gap);
-                false
-            }
-        }
+    /// Takes in a page; true if the copy has moved to a later revision.
+    fn take_in(&mut self, page: Page) -> bool {
+        self.replica.apply(page).unwrap_or_else(|gap| {
+            debug!(self.events.logger(), "page refused"; "reason" => %gap);
+            false
+        })
+    }
+
+    fn renew_view(&mut self) {
+        self.view = Arc::new(View::new(self.replica.store()));
+        self.events.set_revision(self.revision());
+        info!(self.events.logger(), "revision in use");
     }
 }
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -84,6 +84,11 @@
         self.updates.recv().await
     }
 
+    /// The next update, if it has come already.
+    pub(crate) fn try_update(&mut self) -> Option<Update> {
+        self.updates.try_recv().ok()
+    }
+
     /// Sets what control is told; a new revision is told at once.
     pub(crate) fn report(&self, revision: u64, usage: Usage) {
         self.report.send_if_modified(|report| {
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -14,9 +14,14 @@
 use hyssopctl::{Client, Precondition};
 use hyssopdyke::connection::{self, Cache, Directory, Flow, Protocol, Table};
 use hyssopdyke::version::{Replica, Store, View};
+use hyssopdyke_wire::datagram::{
+    Accepted, Datagram, Forward, Load, Offer, Owner, Ping, Pong, Record, Report, Reported,
+    datagram::Body as Message,
+};
 use hyssopdyke_wire::resource::{
     self, Class, Entry, Kind, Listener, Resource, Service, State, Upstream, resource::Body,
 };
+use hyssopdyke_wire::{Key, Purpose};
 use standin::{Cluster, Layout, ServiceLayout, Usage};
 
 use crate::{fake, quickstart};
@@ -53,6 +58,7 @@
         let kind = matches.get_one::<String>("kind").map_or("", String::as_str);
         return probe(kind, *matches.get_one::<u64>("count").unwrap_or(&0));
     }
+    message_sizes();
     state_slopes()?;
     service_slopes()?;
     println!("\ncontrol with sessions (1 control VM; 2 + 1 daemons beside the fakes)");
@@ -74,6 +80,39 @@
     Ok(())
 }
 
+// Messages
+
+/// Prints the bytes of each message of a flow's life, sealed, without IP and UDP headers.
+fn message_sizes() {
+    let key = Key::derive(Cluster::passphrase(), Purpose::Datagram);
+    let flow: hyssopdyke_wire::datagram::Flow = flow(1).into();
+    let flow = Some(flow);
+    let packet = bytes::Bytes::from(vec![0; 60]);
+    let record = Record { flow: flow.clone(), isn: u32::MAX, owner: u64::MAX };
+    let report =
+        Report { sequence: 99_999, epoch: 99_999, opened: vec![record], ..Report::default() };
+    let forward =
+        Forward { packet: packet.clone(), hops: 2, entry_address: u32::MAX, entry_port: 5556 };
+    let load = Some(Load { weight: 50_000, room: 5, ejected: false });
+    let messages = [
+        ("forward of a 60-byte packet", Message::Forward(forward)),
+        ("offer of a 60-byte packet", Message::Offer(Offer { packet })),
+        ("accepted", Message::Accepted(Accepted { flow: flow.clone() })),
+        ("owner", Message::Owner(Owner { flow, vm: u64::MAX })),
+        ("report of one flow", Message::Report(report)),
+        ("reported", Message::Reported(Reported { sequence: 99_999 })),
+        ("ping with load", Message::Ping(Ping { nonce: u64::MAX, load })),
+        ("pong", Message::Pong(Pong { nonce: u64::MAX })),
+    ];
+    println!("{:<34} {:>9}", "message", "bytes");
+    for (name, body) in messages {
+        let mut buffer = bytes::BytesMut::new();
+        key.seal(&Datagram { revision: 99_999, body: Some(body) }, &mut buffer);
+        println!("{name:<34} {:>9}", buffer.len());
+    }
+    println!();
+}
+
 // State and flows, each in a process of its own
 
 fn state_slopes() -> Result<()> {
