--- a/crates/hyssopdyked/tests/flows.rs
+++ b/crates/hyssopdyked/tests/flows.rs
@@ -80,6 +80,26 @@
     bench.assert_sound();
 }
 
+#[test]
+fn flows_reportmissing() {
+    let mut bench = Bench::single("flows_reportmissing", 3);
+    bench.streams_with(30, 8 * SECOND, Some(SECOND / 10));
+    bench.wait_established(30);
+    std::thread::sleep(SECOND);
+    // A home that has restarted does not know the flows of the frozen owner, and must not take
+    // their packets for those of unknown flows. Entries that have restarted send it these.
+    bench.cluster.process("dispatch-3").unwrap().freeze().unwrap();
+    for name in ["dispatch-1", "entry-1", "entry-2"] {
+        bench.cluster.process(name).unwrap().kill().unwrap();
+        bench.cluster.respawn(name).unwrap();
+    }
+    wait("the home is back", || bench.events("dispatch-1", "agent started") == 2);
+    std::thread::sleep(SECOND);
+    bench.cluster.process("dispatch-3").unwrap().thaw().unwrap();
+    assert_eq!(bench.finish(), whole(30));
+    bench.assert_sound();
+}
+
 #[test]
 fn flows_agentskilled() {
     let mut bench = Bench::single("flows_agentskilled", 3);
--- a/crates/hyssopdyked/tests/hostile.rs
+++ b/crates/hyssopdyked/tests/hostile.rs
@@ -5,13 +5,17 @@
 mod support;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::time::Duration;
 
+use bytes::BytesMut;
+use etherparse::PacketBuilder;
+use hyssopdyke_wire::datagram::{Datagram, Forward, datagram::Body};
+use hyssopdyke_wire::{Key, Purpose};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use standin::Tally;
-use support::Bench;
+use standin::{Cluster, Layout, ServiceLayout, Tally};
+use support::{Bench, wait};
 
 /// Addresses that a log's first event names under a key.
 fn address(bench: &Bench, vm: &str, key: &str) -> SocketAddr {
@@ -25,6 +29,68 @@
     (0..length).map(|_| random.random()).collect()
 }
 
+/// A packet of a caller to an address and port.
+fn packet(source_port: u16, service: (Ipv4Addr, u16), payload: &[u8]) -> Vec<u8> {
+    let ip = PacketBuilder::ipv4([10, 66, 0, 1], service.0.octets(), 64);
+    let mut bytes = Vec::new();
+    ip.udp(source_port, service.1).write(&mut bytes, payload).unwrap();
+    bytes
+}
+
+#[test]
+fn forward_foreignservice() {
+    // A peer that is wrong about a service's members must not make an agent deliver to it.
+    let services = vec![ServiceLayout::new("dispatch", 1), ServiceLayout::new("survey", 1)];
+    let bench = Bench::start("forward_foreignservice", Layout { services, ..Layout::default() });
+    let key = Key::derive(Cluster::passphrase(), Purpose::Datagram);
+    let sender = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let target = address(&bench, "dispatch-1", "peers");
+    let send = |body: Body| {
+        let mut sealed = BytesMut::new();
+        key.seal(&Datagram { revision: 0, body: Some(body) }, &mut sealed);
+        sender.send_to(&sealed, target).unwrap();
+    };
+    let forward = |service| {
+        let packet = packet(4000, service, b"x").into();
+        Body::Forward(Forward { packet, hops: 2, entry_address: 0, entry_port: 0 })
+    };
+    for _ in 0..20 {
+        send(forward(bench.cluster.stream_address(1)));
+    }
+    // The same for its own service arrives, so the foreign ones have come before it.
+    send(forward(bench.cluster.stream_address(0)));
+    wait("the own packet arrives", || bench.cluster.truths()["dispatch-1"].packets > 0);
+    let truths = bench.cluster.truths();
+    assert_eq!((truths["dispatch-1"].packets, truths["dispatch-1"].foreign), (1, 0));
+    assert_eq!(truths["survey-1"].packets, 0);
+}
+
+#[test]
+fn datagrams_oneowner() {
+    // Copies of a UDP flow's datagrams through two entries all reach one upstream.
+    const FLOWS: u16 = 40;
+    let bench = Bench::single("datagrams_oneowner", 3);
+    let service = bench.cluster.stream_address(0);
+    let sender = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for round in 0..5 {
+        for flow in 0..FLOWS {
+            for entry in 0..2 {
+                let bytes = packet(5000 + flow, service, &[round]);
+                sender.send_to(&bytes, bench.cluster.entry_address(entry)).unwrap();
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let sources = || -> Vec<usize> {
+        let truths = bench.cluster.truths();
+        truths.values().map(|truth| truth.sources.len()).collect()
+    };
+    wait("every flow has an owner", || sources().iter().sum::<usize>() >= usize::from(FLOWS));
+    let total: u64 = bench.cluster.truths().values().map(|truth| truth.packets).sum();
+    assert!(total >= u64::from(FLOWS) * 5, "{total} packets");
+    assert_eq!(sources().iter().sum::<usize>(), usize::from(FLOWS), "{:?}", sources());
+}
+
 #[test]
 fn sockets_noise() {
     let mut bench = Bench::single("sockets_noise", 2);
--- a/crates/hyssopdyked/tests/support/mod.rs
+++ b/crates/hyssopdyked/tests/support/mod.rs
@@ -44,9 +44,14 @@
 
     /// Starts streams of a length.
     pub fn streams(&mut self, count: u64, length: Duration) {
+        self.streams_with(count, length, None);
+    }
+
+    /// Starts streams whose callers send probes.
+    pub fn streams_with(&mut self, count: u64, length: Duration, keep_alive: Option<Duration>) {
         for _ in 0..count {
             let service = self.cluster.stream_address(0);
-            let kind = Kind::Stream { interval: INTERVAL, length };
+            let kind = Kind::Stream { interval: INTERVAL, length, keep_alive };
             self.spec(service, kind, length + PATIENCE);
         }
     }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -37,6 +37,8 @@
         interval: Duration,
         /// Time after which the caller closes.
         length: Duration,
+        /// Time between two probes of the caller's own, if it sends any.
+        keep_alive: Option<Duration>,
     },
 }
 
@@ -248,6 +250,10 @@
         let handle = self.stack.add(BUFFER_BYTES);
         let port = self.next_port;
         self.next_port = port.checked_add(1).unwrap_or(FIRST_PORT);
+        if let Kind::Stream { keep_alive: Some(time), .. } = spec.kind {
+            let time = smoltcp::time::Duration::from_micros(time.as_micros() as u64);
+            self.stack.tcp(handle).set_keep_alive(Some(time));
+        }
         self.stack.connect(handle, spec.service, port);
         let (start, established) = (Instant::now(), None);
         let open = Open { spec, port, start, established, received: Vec::new(), lines: 0 };
@@ -292,7 +298,7 @@
         });
         match open.spec.kind {
             Kind::Request { bytes } => request(open, socket, bytes),
-            Kind::Stream { interval, length } => stream(open, socket, interval, length),
+            Kind::Stream { interval, length, .. } => stream(open, socket, interval, length),
         }
     }
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -4,7 +4,7 @@
 //! is answered with `A id upstream` and that many bytes. `S id interval_ms` is a stream: a line
 //! `L id n` is pushed at each interval until the caller closes.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -75,7 +75,9 @@
     pub runs: HashMap<u64, u32>,
     /// Packets to another address than its service's.
     pub foreign: u64,
-    /// Packets of any kind, and the time of the last one.
+    /// Ends that packets came from.
+    pub sources: HashSet<SocketAddr>,
+    /// Packets of any kind.
     pub packets: u64,
     /// Arrival of the last packet.
     pub last_packet: Option<Instant>,
@@ -239,6 +241,7 @@
                 let parsed = Packet::parse(bytes);
                 let mut truth = shared.truth();
                 truth.packets += 1;
+                truth.sources.extend(parsed.map(|packet| packet.source));
                 truth.last_packet = Some(Instant::now());
                 let is_foreign = parsed.is_ok_and(|packet| packet.destination.ip() != service);
                 truth.foreign += u64::from(is_foreign);
--- a/crates/xtask/src/quickstart.rs
+++ b/crates/xtask/src/quickstart.rs
@@ -73,7 +73,7 @@
     let length = Duration::from_secs(seconds);
     for id in 0..STREAMS {
         let service = cluster.stream_address(id as usize % 2);
-        let kind = Kind::Stream { interval: Duration::from_millis(50), length };
+        let kind = Kind::Stream { interval: Duration::from_millis(50), length, keep_alive: None };
         callers.start(Spec { id, service, kind, deadline: length + DEADLINE });
     }
     let start = Instant::now();
--- a/crates/xtask/src/replay.rs
+++ b/crates/xtask/src/replay.rs
@@ -277,7 +277,7 @@
                         arrivals.push((
                             *at_ms,
                             address,
-                            Kind::Stream { interval: INTERVAL, length },
+                            Kind::Stream { interval: INTERVAL, length, keep_alive: None },
                         ));
                     }
                 }
