--- a/crates/hyssopdyked/tests/command.rs
+++ b/crates/hyssopdyked/tests/command.rs
@@ -2,9 +2,13 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+use support::{Bench, PATIENCE, wait};
+
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hyssopdyked")).args(arguments).output().unwrap()
 }
@@ -74,3 +78,19 @@
     assert_eq!(output.status.code(), Some(0));
     assert!(String::from_utf8_lossy(&output.stdout).contains("--check"));
 }
+
+#[test]
+fn stop_secondsignal() {
+    let mut bench = Bench::single("stop_secondsignal", 1);
+    // Without control, the entry's leaving takes some seconds.
+    bench.cluster.process("control-1").unwrap().freeze().unwrap();
+    bench.cluster.process("entry-1").unwrap().terminate().unwrap();
+    wait("the stop begins", || bench.events("entry-1", "entry leaves") == 1);
+    let entry = bench.cluster.process("entry-1").unwrap();
+    entry.terminate().unwrap();
+    assert_eq!(entry.wait(PATIENCE).unwrap().unwrap().code(), Some(3));
+    // Once is a graceful stop, though control does not answer.
+    let entry = bench.cluster.process("entry-2").unwrap();
+    entry.terminate().unwrap();
+    assert_eq!(entry.wait(PATIENCE).unwrap().unwrap().code(), Some(0));
+}
