--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -49,7 +49,7 @@
                 view.out.insert(domain.name.as_str().into());
             }
         }
-        let mut pools = view.pools(store);
+        let mut pools = pools(store);
         view.add_upstreams(store, &domain_changes, &mut pools);
         view.add_entries(store);
         view.add_services(store, pools);
@@ -107,28 +107,6 @@
         self.peers.get(&address).map(|peer| &*peer.domain)
     }
 
-    #[allow(clippy::unused_self)]
-    fn pools(&self, store: &Store) -> HashMap<Box<str>, Pool> {
-        let services = store.list(Kind::Service).filter_map(|resource| match &resource.body {
-            Some(Body::Service(service)) => Some((resource, service)),
-            _ => None,
-        });
-        let pools = services.map(|(resource, service)| {
-            let name: Box<str> = resource.name.as_str().into();
-            let pool = Pool {
-                service: name.clone(),
-                epoch: service.epoch,
-                connections: service.connections,
-                slots: service.slots,
-                cold_slots: service.cold_slots,
-                members: Vec::new(),
-                out: Vec::new(),
-            };
-            (name, pool)
-        });
-        pools.collect()
-    }
-
     fn add_upstreams(
         &mut self,
         store: &Store,
@@ -194,6 +172,28 @@
     }
 }
 
+/// The declared services, without members.
+fn pools(store: &Store) -> HashMap<Box<str>, Pool> {
+    let services = store.list(Kind::Service).filter_map(|resource| match &resource.body {
+        Some(Body::Service(service)) => Some((resource, service)),
+        _ => None,
+    });
+    let pools = services.map(|(resource, service)| {
+        let name: Box<str> = resource.name.as_str().into();
+        let pool = Pool {
+            service: name.clone(),
+            epoch: service.epoch,
+            connections: service.connections,
+            slots: service.slots,
+            cold_slots: service.cold_slots,
+            members: Vec::new(),
+            out: Vec::new(),
+        };
+        (name, pool)
+    });
+    pools.collect()
+}
+
 fn member(name: &str, upstream: &resource::Upstream) -> Option<Member> {
     Some(Member {
         vm: vm::id(name),
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -240,8 +240,8 @@
             return self.refuse(flow);
         }
         offer.sent = now;
-        let with_room = self.peers.with_room(&pool);
         let all = self.peers.candidates(&pool, &[]);
+        let with_room = self.peers.with_room(&all);
         if let Some(vm) = self.draw.pick(if with_room.is_empty() { &all } else { &with_room }) {
             self.offer_to(flow, vm);
         }
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -7,9 +7,7 @@
 use hyssopdyke::connection::{self, Event, Flow, Protocol};
 use hyssopdyke::request::{Packet, Reset};
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{
-    Accepted, Declined, Offer, Owner, Reason, Record, Room, datagram::Body,
-};
+use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Room, datagram::Body};
 use slog::{debug, info, warn};
 
 use super::home::WAIT;
@@ -305,8 +303,4 @@
             self.note_ended(flow, connection.isn);
         }
     }
-
-    pub(super) fn record(&self, flow: &Flow, isn: u32) -> Record {
-        Record { flow: Some((*flow).into()), isn, owner: self.me }
-    }
 }
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -59,11 +59,9 @@
         self.loads.get(&vm).is_some_and(|load| load.ejected)
     }
 
-    /// Members that last reported room.
-    pub(super) fn with_room(&self, pool: &Pool) -> Vec<Candidate> {
+    /// Those of some candidates that last reported room.
+    pub(super) fn with_room(&self, candidates: &[Candidate]) -> Vec<Candidate> {
         let has_room = |vm| self.loads.get(&vm).is_some_and(|load| load.room > 0);
-        let mut candidates = self.candidates(pool, &[]);
-        candidates.retain(|candidate| has_room(candidate.vm));
-        candidates
+        candidates.iter().filter(|candidate| has_room(candidate.vm)).copied().collect()
     }
 }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -72,9 +72,7 @@
         let own = self.table.iter().filter(|(_, state)| !state.is_closed());
         let own = own.map(|(flow, state)| self.record(flow, state.isn));
         let held = self.directory.iter().filter_map(|(flow, record)| match record {
-            connection::Record::Owned { owner, isn, .. } => {
-                Some(Record { flow: Some((*flow).into()), isn: *isn, owner: *owner })
-            }
+            connection::Record::Owned { owner, isn, .. } => Some(message(flow, *isn, *owner)),
             connection::Record::Offered(_) => None,
         });
         let records: Vec<Record> = own.chain(held).collect();
@@ -144,11 +142,7 @@
         let records = self.directory.iter().filter_map(|(flow, record)| match record {
             connection::Record::Owned { owner, isn, absent } => {
                 let is_lost = absent.is_some() && pool.top(self.hash(flow)).0 == Some(to);
-                (*owner == to || is_lost).then(|| Record {
-                    flow: Some((*flow).into()),
-                    isn: *isn,
-                    owner: *owner,
-                })
+                (*owner == to || is_lost).then(|| message(flow, *isn, *owner))
             }
             connection::Record::Offered(_) => None,
         });
@@ -161,7 +155,7 @@
         if let Some(holder) = self.holder(flow) {
             // The home learns of the flow from the answer to its offer.
             if holder != home {
-                self.increments.entry(holder).or_default().opened.push(record.clone());
+                self.increments.entry(holder).or_default().opened.push(record);
             }
         }
     }
@@ -170,7 +164,7 @@
     pub(super) fn note_ended(&mut self, flow: &Flow, isn: u32) {
         let record = self.record(flow, isn);
         if let Some(holder) = self.holder(flow) {
-            self.increments.entry(holder).or_default().ended.push(record.clone());
+            self.increments.entry(holder).or_default().ended.push(record);
         }
     }
 
@@ -302,4 +296,14 @@
             }
         }
     }
+
+    /// The record of a flow of this agent.
+    fn record(&self, flow: &Flow, isn: u32) -> Record {
+        message(flow, isn, self.me)
+    }
+}
+
+/// The record of a flow, as it is sent.
+fn message(flow: &Flow, isn: u32, owner: vm::Id) -> Record {
+    Record { flow: Some((*flow).into()), isn, owner }
 }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -19,7 +19,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{debug, info, warn};
-use tokio::time::interval;
+use tokio::time::{Interval, interval};
 
 use super::peers::Peers;
 use crate::log::Events;
@@ -149,20 +149,28 @@
         let mut sweeps = interval(SWEEP);
         loop {
             tokio::select! {
-                ready = self.link.readable() => { ready?; self.receive_batch()?; }
-                ready = self.answers.readable() => { ready?; self.answer_batch()?; }
-                Some(update) = session.update() => {
-                    if self.membership.update(update, session) {
-                        self.view_changed();
-                    }
-                }
-                _ = ticks.tick() => self.tick(),
+                served = self.serve_next(session, &mut ticks) => served?,
                 _ = sweeps.tick() => self.sweep(),
             }
             session.report(self.membership.revision(), self.usage());
         }
     }
 
+    /// Serves what comes next: messages, answers, an update of control, or what is due.
+    async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
+        tokio::select! {
+            ready = self.link.readable() => { ready?; self.receive_batch()?; }
+            ready = self.answers.readable() => { ready?; self.answer_batch()?; }
+            Some(update) = session.update() => {
+                if self.membership.update(update, session) {
+                    self.view_changed();
+                }
+            }
+            _ = ticks.tick() => self.tick(),
+        }
+        Ok(())
+    }
+
     /// Serves on until the other members know of all flows, for a graceful stop.
     pub(super) async fn finish(&mut self, session: &mut Session) -> Result<()> {
         let mut ticks = interval(TICK);
@@ -171,16 +179,7 @@
             self.flush_increments();
             self.report_farewell();
             while !self.outbox.is_empty() {
-                tokio::select! {
-                    ready = self.link.readable() => { ready?; self.receive_batch()?; }
-                    ready = self.answers.readable() => { ready?; self.answer_batch()?; }
-                    Some(update) = session.update() => {
-                        if self.membership.update(update, session) {
-                            self.view_changed();
-                        }
-                    }
-                    _ = ticks.tick() => self.tick(),
-                }
+                self.serve_next(session, &mut ticks).await?;
             }
             Ok(())
         };
--- a/crates/hyssopdyked/src/control/consensus/replicate.rs
+++ b/crates/hyssopdyked/src/control/consensus/replicate.rs
@@ -152,7 +152,6 @@
                 follower.next += entries.len() as u64;
                 Body::Append(Append {
                     term,
-                    leader: self.name.to_string(),
                     previous_index: previous,
                     previous_term,
                     entries,
@@ -169,10 +168,7 @@
                 let snapshot = self.journal.snapshot();
                 Body::Install(Install {
                     term,
-                    leader: self.name.to_string(),
                     data: snapshot.encode_to_vec().into(),
-                    offset: 0,
-                    last: true,
                     index: snapshot.index,
                     round,
                 })
@@ -191,15 +187,9 @@
         if reached > self.commit && self.journal.term(reached) == Some(self.journal.vote().term) {
             self.commit = reached;
         }
-        let (ready, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.confirms).into_iter().partition(|(due, _)| *due <= confirmed);
-        self.confirms = waiting;
-        let is_current = self.journal.term(self.commit) == Some(self.journal.vote().term);
-        for (due, reply) in ready {
-            if is_current {
+        if self.journal.term(self.commit) == Some(self.journal.vote().term) {
+            for (_, reply) in self.confirms.extract_if(.., |(due, _)| *due <= confirmed) {
                 let _ = reply.send(Ok(()));
-            } else {
-                self.confirms.push((due, reply));
             }
         }
         if !self.may_vote() && self.commit >= self.configuration_index {
--- a/crates/hyssopdyked/src/control/consensus/voters.rs
+++ b/crates/hyssopdyked/src/control/consensus/voters.rs
@@ -23,29 +23,32 @@
     }
 
     pub(super) fn follow_configuration(&mut self) {
-        let known: Vec<SocketAddr> = self
-            .configuration
-            .voters
-            .iter()
-            .filter_map(|voter| voter.address.parse().ok())
+        let voters = self.configuration.voters.iter();
+        let others = voters.filter(|voter| *voter.name != *self.name);
+        let others: Vec<(Box<str>, SocketAddr)> = others
+            .filter_map(|voter| Some((voter.name.as_str().into(), voter.address.parse().ok()?)))
             .collect();
-        if let Role::Leader { followers, .. } = &mut self.role {
-            let last = self.journal.last_index();
-            for voter in &self.configuration.voters {
-                if *voter.name == *self.name {
-                    continue;
-                }
-                let Ok(address) = voter.address.parse() else { continue };
-                followers
-                    .entry(voter.name.as_str().into())
-                    .or_insert_with(|| Follower::new(address, last));
+        if matches!(self.role, Role::Leader { .. }) {
+            for (name, address) in others {
+                self.add_follower(name, address);
             }
         } else {
-            let peers: Vec<SocketAddr> = self.peers.values().copied().collect();
-            self.outgoing.retain(|address| known.contains(address) || peers.contains(address));
+            let is_known = |address: &SocketAddr| {
+                others.iter().any(|(_, known)| known == address)
+                    || self.peers.values().any(|known| known == address)
+            };
+            self.outgoing.retain(is_known);
         }
     }
 
+    /// Sends a VM entries from now on; false where this VM does not lead.
+    fn add_follower(&mut self, name: Box<str>, address: SocketAddr) -> bool {
+        let last = self.journal.last_index();
+        let Role::Leader { followers, .. } = &mut self.role else { return false };
+        followers.entry(name).or_insert_with(|| Follower::new(address, last));
+        true
+    }
+
     pub(super) fn voter(&self, name: &str) -> Option<&Voter> {
         self.configuration.voters.iter().find(|voter| voter.name == name)
     }
@@ -65,16 +68,11 @@
 
     /// Gives a VM a vote, once it has all entries.
     pub(super) fn admit(&mut self, voter: &Voter, reply: Reply<()>) {
-        let last = self.journal.last_index();
-        let answer = match (&mut self.role, voter.address.parse()) {
-            (Role::Leader { followers, .. }, Ok(address)) => {
-                followers
-                    .entry(voter.name.as_str().into())
-                    .or_insert_with(|| Follower::new(address, last));
-                Ok(())
-            }
-            _ => Err(Error::NotLeader(self.leader.clone())),
+        let is_added = match voter.address.parse() {
+            Ok(address) => self.add_follower(voter.name.as_str().into(), address),
+            Err(_) => false,
         };
+        let answer = if is_added { Ok(()) } else { Err(Error::NotLeader(self.leader.clone())) };
         let _ = reply.send(answer);
     }
 
--- a/crates/xtask/src/quickstart.rs
+++ b/crates/xtask/src/quickstart.rs
@@ -38,27 +38,27 @@
         .args(if cfg!(debug_assertions) { &[][..] } else { &["--release"][..] })
         .status()?;
     ensure!(status.success(), "the daemons do not build");
-    let own = std::env::current_exe()?;
-    // Tests lie one folder deeper than programs.
-    let mut folders = own.ancestors().skip(1).filter(|folder| !folder.ends_with("deps"));
-    let folder = folders.next().map(PathBuf::from);
-    folder.ok_or_else(|| eyre::eyre!("{} has no folder", own.display()))
+    program_folder()
 }
 
 /// A folder for the files of a run, emptied.
 pub(crate) fn folder(name: &str) -> Result<PathBuf> {
-    let folder = build_folder()?.join(format!("{name}-{}", std::process::id()));
+    let programs = program_folder()?;
+    let target = programs.parent().unwrap_or(&programs);
+    let folder = target.join(format!("{name}-{}", std::process::id()));
     if folder.exists() {
         std::fs::remove_dir_all(&folder)?;
     }
     Ok(folder)
 }
 
-fn build_folder() -> Result<PathBuf> {
+/// The folder of the programs that were built with this one.
+fn program_folder() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
+    // Tests lie one folder deeper than programs.
     let mut folders = own.ancestors().skip(1).filter(|folder| !folder.ends_with("deps"));
-    let target = folders.nth(1).map(PathBuf::from);
-    target.ok_or_else(|| eyre::eyre!("{} is in no target folder", own.display()))
+    let folder = folders.next().map(PathBuf::from);
+    folder.ok_or_else(|| eyre::eyre!("{} has no folder", own.display()))
 }
 
 pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
