--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -151,9 +151,11 @@
         let Some(connection) = self.flows.get(flow) else {
             return Ends { upstream: None, caller: None };
         };
-        // The other end's acknowledgement is the number that it expects next.
-        let to_upstream = connection.caller.acknowledged.or(connection.caller.next);
-        let to_caller = connection.upstream.acknowledged.or(connection.upstream.next);
+        // A receiver ignores a reset below the number that it expects, and answers one above it
+        // within its window, whereupon its home resets it. What was sent is never below; an
+        // acknowledgement may be on its way still.
+        let to_upstream = connection.caller.next.or(connection.caller.acknowledged);
+        let to_caller = connection.upstream.next.or(connection.upstream.acknowledged);
         let reset = |from, to, sequence| Reset::abort(from, to, sequence);
         Ends {
             upstream: to_upstream.map(|next| reset(flow.caller, flow.service, next)),
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -72,6 +72,20 @@
     assert_eq!(table.connections(), 0);
 }
 
+#[test]
+fn table_resetsunacknowledged() {
+    let start = Instant::now();
+    let mut table = asked(start);
+    table.outbound(&flow(1), Some(&segment(501, Some(111), "", 20)), start);
+    let resets = table.resets(&flow(1));
+    let sequence = |reset: Option<Reset>| {
+        let bytes = reset.unwrap().encode();
+        Packet::parse(&bytes).unwrap().segment.unwrap().sequence
+    };
+    // The caller has the 20 bytes, though its acknowledgement was not seen.
+    assert_eq!((sequence(resets.upstream), sequence(resets.caller)), (111, 521));
+}
+
 #[test]
 fn table_silence() {
     let start = Instant::now();
