--- a/crates/hyssopctl/src/client.rs
+++ b/crates/hyssopctl/src/client.rs
@@ -308,6 +308,8 @@
         Kind::Domain => "domains",
         Kind::Upstream => "upstreams",
         Kind::Entry => "entries",
+        Kind::Route => "routes",
+        Kind::Declaration => "declarations",
         Kind::Unspecified => "unspecified",
     }
 }
--- a/crates/hyssopctl/src/declaration.rs
+++ b/crates/hyssopctl/src/declaration.rs
@@ -196,7 +196,7 @@
             connections: connections?,
             slots: slots?,
             cold_slots: cold_slots?,
-            epoch: 0,
+            ..Service::default()
         })
     }
 
--- a/crates/hyssopctl/src/operation.rs
+++ b/crates/hyssopctl/src/operation.rs
@@ -66,6 +66,8 @@
         Some("domains") => Kind::Domain,
         Some("upstreams") => Kind::Upstream,
         Some("entries") => Kind::Entry,
+        Some("routes") => Kind::Route,
+        Some("declarations") => Kind::Declaration,
         _ => Kind::Unspecified,
     }
 }
--- a/crates/hyssopctl/src/output.rs
+++ b/crates/hyssopctl/src/output.rs
@@ -44,6 +44,12 @@
             format!("{} in {}, {state}, {address}", upstream.service, upstream.domain)
         }
         Some(Body::Entry(entry)) => format!("in {}, {}", entry.domain, entry.address),
+        Some(Body::Route(route)) => {
+            let shares =
+                route.splits.iter().map(|split| format!("{} {}", split.service, split.weight));
+            shares.collect::<Vec<_>>().join(", ")
+        }
+        Some(Body::Declaration(declaration)) => format!("version {}", declaration.version),
         Some(Body::Deleted(kind)) => {
             let kind = Kind::try_from(*kind).unwrap_or_default();
             format!("removed ({})", kind.as_str_name().trim_start_matches("KIND_").to_lowercase())
--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -19,6 +19,8 @@
 pub struct Offer {
     /// Member that is asked now; `None` while the flow waits for room.
     pub asked: Option<vm::Id>,
+    /// Service that the flow goes to.
+    pub service: Box<str>,
     /// Members that declined since the last wait.
     pub declined: Vec<vm::Id>,
     /// Members that may still be asked before the flow waits.
@@ -32,10 +34,11 @@
 }
 
 impl Offer {
-    /// A flow that came at `now` with `packet`, and may be offered to `tries` members.
+    /// A flow that came at `now` with `packet`, and may be offered to `tries` members of a service.
     #[must_use]
-    pub const fn new(packet: Bytes, tries: usize, now: Instant) -> Self {
-        Self { asked: None, declined: Vec::new(), tries, packet, since: now, sent: now }
+    pub const fn new(packet: Bytes, service: Box<str>, tries: usize, now: Instant) -> Self {
+        let declined = Vec::new();
+        Self { asked: None, service, declined, tries, packet, since: now, sent: now }
     }
 }
 
--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -97,6 +97,17 @@
         expired.map(|(flow, _)| *flow).collect()
     }
 
+    /// Flows of which neither end was heard for `idle`.
+    #[must_use]
+    pub fn idle(&self, now: Instant, idle: Duration) -> Vec<Flow> {
+        let is_idle = |connection: &State| {
+            let heard = connection.caller_heard.max(connection.upstream_heard);
+            now.duration_since(heard) >= idle
+        };
+        let idle = self.flows.iter().filter(|(_, connection)| is_idle(connection));
+        idle.map(|(flow, _)| *flow).collect()
+    }
+
     /// Adopted TCP flows whose upstream has not shown yet that it holds them.
     #[must_use]
     pub fn unverified(&self) -> Vec<Flow> {
--- a/crates/hyssopdyke/src/process/lease.rs
+++ b/crates/hyssopdyke/src/process/lease.rs
@@ -20,6 +20,8 @@
 pub struct Lease {
     length: Duration,
     granted: Option<Instant>,
+    /// Grants by the revision that control held, until this process has caught up with it.
+    pending: Vec<(u64, Instant)>,
     vouched: Option<Instant>,
     questions: HashMap<u64, Instant>,
 }
@@ -28,13 +30,29 @@
     /// No lease yet; one that is granted lasts for `length`.
     #[must_use]
     pub fn new(length: Duration) -> Self {
-        Self { length, granted: None, vouched: None, questions: HashMap::new() }
+        Self {
+            length,
+            granted: None,
+            pending: Vec::new(),
+            vouched: None,
+            questions: HashMap::new(),
+        }
     }
 
-    /// Notes that control granted the renewal that was sent at `sent`.
-    pub fn grant(&mut self, sent: Instant, length: Duration) {
+    /// Notes that control, which held `revision`, granted the renewal that was sent at `sent`.
+    ///
+    /// The grant counts once the process has [caught up](Self::catch_up) with that revision: one
+    /// that was frozen may hold a view from before its failure domain was taken out.
+    pub fn grant(&mut self, sent: Instant, length: Duration, revision: u64) {
         self.length = length;
-        self.granted = self.granted.max(Some(sent));
+        self.pending.push((revision, sent));
+    }
+
+    /// Notes the revision that the process acts by.
+    pub fn catch_up(&mut self, revision: u64) {
+        for (_, sent) in self.pending.extract_if(.., |(needed, _)| *needed <= revision) {
+            self.granted = self.granted.max(Some(sent));
+        }
     }
 
     /// Notes that a peer was asked.
--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod lease;
 mod limit;
 mod outbox;
+mod upstream;
 
 pub use barrier::Barrier;
 pub use disk::{Disk, Folder};
@@ -13,3 +14,4 @@
 pub use lease::Lease;
 pub use limit::Limit;
 pub use outbox::Outbox;
+pub use upstream::{Change, Phase, Upstream, UpstreamReport};
--- /dev/null
+++ b/crates/hyssopdyke/src/request/border.rs
@@ -0,0 +1,81 @@
+//! The form of packets where the system meets callers and upstreams.
+//!
+//! A [`Border`] reads and writes packets of one form; everything else works on [`Packet`]s.
+//! [`Tunneled`] is the product's own form.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+use super::{Packet, Probe, Refusal, Reset};
+
+/// Reads and writes packets of one form.
+pub trait Border: Send + 'static {
+    /// Reads the headers of a packet.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] where the packet cannot be told to belong to a flow.
+    fn parse(&self, bytes: &[u8]) -> Result<Packet, Refusal>;
+
+    /// Where packets for a caller are sent.
+    fn toward(&self, caller: SocketAddr) -> SocketAddr;
+
+    /// A reset for a caller.
+    fn reset_caller(&self, reset: &Reset) -> Vec<u8>;
+
+    /// A reset for an upstream; `None` where the form lets nobody but the caller write one.
+    fn reset_upstream(&self, reset: &Reset) -> Option<Vec<u8>>;
+
+    /// A probe of either end; `None` where the form lets nobody but the ends write one.
+    fn probe(&self, probe: &Probe) -> Option<Vec<u8>>;
+
+    /// A packet that an upstream gave back, as its caller had sent it.
+    fn restore(&self, returned: &Bytes) -> Bytes;
+
+    /// Whether the ends settle themselves which upstream a flow opens at, when its first packet
+    /// has reached several.
+    ///
+    /// Otherwise a first packet is handed out only once all that is known of its flow has come in.
+    const SETTLES_OPENING: bool;
+
+    /// Whether callers may be reset on flows that their upstream still serves.
+    const RESETS_OPEN: bool;
+}
+
+/// IP packets in UDP without a header of their own, through one fabric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tunneled {
+    /// Where the fabric takes answers.
+    pub fabric: SocketAddr,
+}
+
+impl Border for Tunneled {
+    fn parse(&self, bytes: &[u8]) -> Result<Packet, Refusal> {
+        Packet::parse(bytes)
+    }
+
+    fn toward(&self, _: SocketAddr) -> SocketAddr {
+        self.fabric
+    }
+
+    fn reset_caller(&self, reset: &Reset) -> Vec<u8> {
+        reset.encode()
+    }
+
+    fn reset_upstream(&self, reset: &Reset) -> Option<Vec<u8>> {
+        Some(reset.encode())
+    }
+
+    fn probe(&self, probe: &Probe) -> Option<Vec<u8>> {
+        Some(probe.encode())
+    }
+
+    fn restore(&self, returned: &Bytes) -> Bytes {
+        returned.clone()
+    }
+
+    const SETTLES_OPENING: bool = false;
+
+    const RESETS_OPEN: bool = true;
+}
--- a/crates/hyssopdyke/src/request/packet.rs
+++ b/crates/hyssopdyke/src/request/packet.rs
@@ -64,6 +64,8 @@
     pub destination: SocketAddr,
     /// The TCP fields, or `None` for UDP.
     pub segment: Option<Segment>,
+    /// The upstream gives the packet back: it has not taken it.
+    pub is_returned: bool,
 }
 
 impl Packet {
@@ -98,6 +100,7 @@
             source: SocketAddr::new(source, ports.0),
             destination: SocketAddr::new(destination, ports.1),
             segment,
+            is_returned: false,
         })
     }
 
--- a/crates/hyssopdyke/src/request/reset.rs
+++ b/crates/hyssopdyke/src/request/reset.rs
@@ -15,10 +15,14 @@
 /// A TCP reset.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reset {
-    source: SocketAddr,
-    destination: SocketAddr,
-    sequence: u32,
-    acknowledgement: Option<u32>,
+    /// End in whose name the reset is sent.
+    pub source: SocketAddr,
+    /// End that the reset is for.
+    pub destination: SocketAddr,
+    /// Sequence number that the receiver expects next.
+    pub sequence: u32,
+    /// What it answers, for a connection that is not open.
+    pub acknowledgement: Option<u32>,
 }
 
 impl Reset {
--- /dev/null
+++ b/crates/hyssopdyke/src/version/group.rs
@@ -0,0 +1,76 @@
+//! Services that share routes.
+//!
+//! The home of a flow must not move when the weights of its route change, so homes are chosen
+//! among the members of all services that are linked by routes, directly or through others.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hyssopdyke_wire::resource::{Kind, resource::Body};
+
+use super::Store;
+
+/// Services by name, each with those that it is linked to, itself included.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Groups {
+    /// Name of the first service of each service's group.
+    first: BTreeMap<Box<str>, Box<str>>,
+}
+
+impl Groups {
+    /// The groups of the services and routes in a store.
+    #[must_use]
+    pub fn new(store: &Store) -> Self {
+        let mut groups = Self::default();
+        for service in store.list(Kind::Service) {
+            let name: Box<str> = service.name.as_str().into();
+            groups.first.insert(name.clone(), name);
+        }
+        for route in store.list(Kind::Route) {
+            let Some(Body::Route(route)) = &route.body else { continue };
+            for pair in route.splits.windows(2) {
+                groups.link(&pair[0].service, &pair[1].service);
+            }
+        }
+        groups
+    }
+
+    /// Name of the group of a service: that of its first member by name.
+    #[must_use]
+    pub fn of(&self, service: &str) -> Option<&str> {
+        self.first.get(service).map(|first| &**first)
+    }
+
+    /// The services of each group.
+    #[must_use]
+    pub fn members(&self) -> BTreeMap<Box<str>, BTreeSet<Box<str>>> {
+        let mut members: BTreeMap<Box<str>, BTreeSet<Box<str>>> = BTreeMap::new();
+        for (service, first) in &self.first {
+            members.entry(first.clone()).or_default().insert(service.clone());
+        }
+        members
+    }
+
+    /// Services of which the group is not the same in `other`.
+    #[must_use]
+    pub fn changed(&self, other: &Self) -> Vec<Box<str>> {
+        let (own, others) = (self.members(), other.members());
+        let services =
+            |members: &BTreeMap<Box<str>, BTreeSet<Box<str>>>, groups: &Self, name: &str| {
+                groups.of(name).and_then(|first| members.get(first).cloned())
+            };
+        let names = self.first.keys();
+        let changed =
+            names.filter(|name| services(&own, self, name) != services(&others, other, name));
+        changed.cloned().collect()
+    }
+
+    fn link(&mut self, a: &str, b: &str) {
+        let (Some(a), Some(b)) = (self.first.get(a).cloned(), self.first.get(b).cloned()) else {
+            return;
+        };
+        let (least, most) = if a < b { (a, b) } else { (b, a) };
+        for first in self.first.values_mut().filter(|first| **first == most) {
+            first.clone_from(&least);
+        }
+    }
+}
--- a/crates/hyssopdyke/src/version/mod.rs
+++ b/crates/hyssopdyke/src/version/mod.rs
@@ -4,6 +4,7 @@
 //! revision, a [`Replica`] brings a daemon's copy forward page by page, and a [`View`] is what a
 //! daemon derives from it to route packets.
 
+mod group;
 mod home;
 mod pool;
 mod registry;
@@ -11,9 +12,10 @@
 mod store;
 mod view;
 
+pub use group::Groups;
 pub use home::Ranking;
-pub use pool::{Member, Pool};
-pub use registry::{Outcome, Registry};
+pub use pool::{Bounds, Member, Pool};
+pub use registry::{DECLARATION, Outcome, Registry};
 pub use replica::{Gap, Replica};
 pub use store::{Key, Store};
-pub use view::{Service, View};
+pub use view::{Route, Share, View};
--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -1,6 +1,8 @@
-//! The members of a service.
+//! The members of the services that share routes.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::Ranking;
 use crate::vm;
@@ -12,6 +14,8 @@
     pub vm: vm::Id,
     /// The VM's name.
     pub name: Box<str>,
+    /// Service that the upstream serves.
+    pub service: Box<str>,
     /// Failure domain.
     pub domain: Box<str>,
     /// Agent's socket for datagrams of other daemons.
@@ -22,19 +26,28 @@
     pub draining: bool,
 }
 
-/// The members of one service, and what one of them bears.
+/// What one upstream of a service bears.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections.
+    pub connections: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Requests that it runs at a time while it is cold.
+    pub cold_slots: u32,
+    /// Time for which it is cold after its start.
+    pub cold: Duration,
+    /// New flows that it bears in 1000 seconds while it is cold; 0 where that is not declared.
+    pub cold_rate: u32,
+}
+
+/// The members of the services that share routes, and what one of each bears.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Pool {
-    /// Name of the service.
-    pub service: Box<str>,
     /// Revision of the last change of the members.
     pub epoch: u64,
-    /// Connections that one upstream bears.
-    pub connections: u32,
-    /// Requests that one upstream runs at a time.
-    pub slots: u32,
-    /// Requests that one upstream bears while it is cold.
-    pub cold_slots: u32,
+    /// The services by name.
+    pub services: BTreeMap<Box<str>, Bounds>,
     /// Members in failure domains that are in, by id.
     pub members: Vec<Member>,
     /// Ids of upstreams in failure domains that are out.
--- a/crates/hyssopdyke/src/version/registry.rs
+++ b/crates/hyssopdyke/src/version/registry.rs
@@ -3,19 +3,23 @@
 //! A registry changes only by [`Registry::apply`], which is deterministic, so that every control
 //! VM that has applied the same commands holds the same state.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
+use bytes::Bytes;
 use hyssopdyke_wire::ledger::{
-    Answer, Command, Configuration, Register, Snapshot, Unregister, Write, command,
+    Answer, Command, Configuration, Declare, Register, Snapshot, Unregister, Write, command,
 };
-use hyssopdyke_wire::resource::{Kind, Resource, State, resource::Body};
+use hyssopdyke_wire::resource::{Declaration, Kind, Resource, State, resource::Body};
 
-use super::Store;
-use super::store::kind;
+use super::store::{Key, kind};
+use super::{Groups, Store};
 
 /// Answers that are kept for repeated requests.
 const ANSWERS: usize = 10_000;
 
+/// Name of the resource that tells which declaration is held.
+pub const DECLARATION: &str = "current";
+
 /// What a command did.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
@@ -25,6 +29,8 @@
     Conflict(Option<Resource>),
     /// The resource that the write would change does not exist.
     Missing,
+    /// The declaration of this version is held now; it was before where it is not the one applied.
+    Declared(u64),
     /// The lease of the process is on record, or is gone.
     Recorded,
 }
@@ -36,6 +42,7 @@
     answers: HashMap<Box<str>, Answer>,
     answer_order: VecDeque<Box<str>>,
     configuration: Configuration,
+    document: Bytes,
 }
 
 impl Registry {
@@ -57,12 +64,23 @@
         &self.configuration
     }
 
+    /// The declaration that is held, as the operator wrote it, with its version.
+    #[must_use]
+    pub fn declaration(&self) -> Option<(u64, &Bytes)> {
+        let held = self.store.get(Kind::Declaration, DECLARATION)?;
+        match &held.body {
+            Some(Body::Declaration(declaration)) => Some((declaration.version, &self.document)),
+            _ => None,
+        }
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: Command) -> Outcome {
         match command.body {
             Some(command::Body::Write(write)) => self.write(write),
             Some(command::Body::Register(register)) => self.register(register),
             Some(command::Body::Unregister(unregister)) => self.unregister(&unregister),
+            Some(command::Body::Declare(declare)) => self.declare(declare),
             Some(command::Body::Configuration(configuration)) => {
                 self.configuration = configuration;
                 Outcome::Recorded
@@ -83,6 +101,7 @@
             revision: self.store.revision(),
             answers: answers.cloned().collect(),
             floor: self.store.floor(),
+            document: self.document.clone(),
         }
     }
 
@@ -92,6 +111,7 @@
         let mut registry = Self {
             store: Store::with_floor(snapshot.floor),
             configuration: snapshot.configuration.unwrap_or_default(),
+            document: snapshot.document,
             ..Self::default()
         };
         for resource in snapshot.resources {
@@ -113,7 +133,7 @@
             Outcome::Written(resource) => (true, Some(resource.clone())),
             Outcome::Conflict(current) => (false, current.clone()),
             // A missing resource may exist when the request is repeated.
-            Outcome::Missing | Outcome::Recorded => return outcome,
+            Outcome::Missing | Outcome::Declared(_) | Outcome::Recorded => return outcome,
         };
         if !write.idempotency_key.is_empty() {
             self.remember(Answer { idempotency_key: write.idempotency_key, accepted, resource });
@@ -158,6 +178,62 @@
         Outcome::Written(resource)
     }
 
+    /// Puts a declaration in force as one change, unless one of its version or a higher is held.
+    fn declare(&mut self, declare: Declare) -> Outcome {
+        if let Some((held, _)) = self.declaration()
+            && declare.version <= held
+        {
+            return Outcome::Declared(held);
+        }
+        let revision = self.store.revision() + 1;
+        let before = Groups::new(&self.store);
+        let mut named: BTreeSet<Key> = BTreeSet::new();
+        for resource in declare.resources {
+            let Some(kind) = kind(&resource) else { continue };
+            named.insert((kind, resource.name.as_str().into()));
+            self.replace(kind, resource, revision);
+        }
+        for kind in [Kind::Service, Kind::Route] {
+            let present =
+                self.store.list(kind).map(|resource| (kind, resource.name.as_str().into()));
+            let dropped: Vec<Key> = present.filter(|key| !named.contains(key)).collect();
+            for (kind, name) in dropped {
+                let body = Some(Body::Deleted(kind as i32));
+                let name = name.into();
+                self.store.put(Resource { name, revision, generation: revision, body });
+            }
+        }
+        let after = Groups::new(&self.store);
+        for service in after.changed(&before) {
+            self.touch(&service, revision);
+        }
+        let body = Declaration { version: declare.version, idle_ms: declare.idle_ms };
+        self.store.put(Resource {
+            name: DECLARATION.to_owned(),
+            revision,
+            generation: revision,
+            body: Some(Body::Declaration(body)),
+        });
+        self.document = declare.document;
+        Outcome::Declared(declare.version)
+    }
+
+    /// Puts a declared resource in place of the one of its name, if it differs from that.
+    fn replace(&mut self, kind: Kind, mut resource: Resource, revision: u64) {
+        let former = self.store.get(kind, &resource.name).and_then(|held| held.body.as_ref());
+        if let Some(Body::Service(service)) = &mut resource.body {
+            service.epoch = match former {
+                Some(Body::Service(former)) => former.epoch,
+                _ => revision,
+            };
+        }
+        if former == resource.body.as_ref() {
+            return;
+        }
+        (resource.revision, resource.generation) = (revision, revision);
+        self.store.put(resource);
+    }
+
     fn register(&mut self, register: Register) -> Outcome {
         let Some(mut resource) = register.resource else {
             return Outcome::Recorded;
--- a/crates/hyssopdyke/src/version/store.rs
+++ b/crates/hyssopdyke/src/version/store.rs
@@ -142,6 +142,8 @@
         Body::Domain(_) => Kind::Domain,
         Body::Upstream(_) => Kind::Upstream,
         Body::Entry(_) => Kind::Entry,
+        Body::Route(_) => Kind::Route,
+        Body::Declaration(_) => Kind::Declaration,
         Body::Deleted(kind) => Kind::try_from(*kind).ok()?,
     })
 }
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -1,24 +1,58 @@
 //! What a daemon derives from one revision to route packets.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyssopdyke_wire::resource::{self, Class, Kind, State, resource::Body};
 
-use super::{Member, Pool, Store};
+use super::{Bounds, DECLARATION, Groups, Member, Pool, Store};
 use crate::connection::Protocol;
 use crate::vm;
 
+/// What of a route's new flows one service gets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// Weight among the route's shares.
+    pub weight: u32,
+}
+
 /// What a service address stands for.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Service {
+pub struct Route {
     /// One flow is one request and takes a slot.
     pub is_request: bool,
-    /// The members that serve it.
+    /// The services that serve it; none of them has weight 0.
+    pub shares: Box<[Share]>,
+    /// The members of these services and of those that they share routes with.
     pub pool: Arc<Pool>,
 }
 
+impl Route {
+    /// Whether new flows of the route may go to a service.
+    #[must_use]
+    pub fn allows(&self, service: &str) -> bool {
+        self.shares.iter().any(|share| *share.service == *service)
+    }
+
+    /// The service that a draw between 0 and 1 falls on.
+    #[must_use]
+    pub fn draw(&self, at: f64) -> Option<&str> {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut left = (at * total as f64) as u64;
+        for share in &self.shares {
+            match left.checked_sub(u64::from(share.weight)) {
+                Some(rest) => left = rest,
+                None => return Some(&share.service),
+            }
+        }
+        self.shares.last().map(|share| &*share.service)
+    }
+}
+
 /// A process that this daemon may exchange datagrams with.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Peer {
@@ -30,8 +64,11 @@
 #[derive(Debug, Clone, Default)]
 pub struct View {
     revision: u64,
-    services: HashMap<(SocketAddr, Protocol), Service>,
+    routes: HashMap<(SocketAddr, Protocol), Route>,
+    /// Pools by the names of their services.
     pools: HashMap<Box<str>, Arc<Pool>>,
+    /// Version of the declaration, and the silence after which it lets flows be forgotten.
+    declared: Option<(u64, Option<Duration>)>,
     peers: HashMap<SocketAddr, Peer>,
     boots: HashSet<u64>,
     out: HashSet<Box<str>>,
@@ -49,10 +86,14 @@
                 view.out.insert(domain.name.as_str().into());
             }
         }
-        let mut pools = pools(store);
-        view.add_upstreams(store, &domain_changes, &mut pools);
+        let groups = Groups::new(store);
+        let mut pools = pools(store, &groups);
+        view.add_upstreams(store, &domain_changes, &groups, &mut pools);
         view.add_entries(store);
-        view.add_services(store, pools);
+        view.add_pools(&groups, pools);
+        view.add_listeners(store);
+        view.add_routes(store);
+        view.add_declaration(store);
         view
     }
 
@@ -62,13 +103,25 @@
         self.revision
     }
 
-    /// The service at an address.
+    /// Version of the declaration that is held, if there is one.
+    #[must_use]
+    pub fn declared(&self) -> Option<u64> {
+        self.declared.map(|(version, _)| version)
+    }
+
+    /// Silence after which a flow may be forgotten, where that is declared.
     #[must_use]
-    pub fn service(&self, address: SocketAddr, protocol: Protocol) -> Option<&Service> {
-        self.services.get(&(address, protocol))
+    pub fn idle(&self) -> Option<Duration> {
+        self.declared.and_then(|(_, idle)| idle)
     }
 
-    /// The members of a service.
+    /// The route of an address.
+    #[must_use]
+    pub fn route(&self, address: SocketAddr, protocol: Protocol) -> Option<&Route> {
+        self.routes.get(&(address, protocol))
+    }
+
+    /// The members of a service and of those that it shares routes with.
     #[must_use]
     pub fn pool(&self, service: &str) -> Option<&Arc<Pool>> {
         self.pools.get(service)
@@ -111,6 +164,7 @@
         &mut self,
         store: &Store,
         domain_changes: &HashMap<Box<str>, u64>,
+        groups: &Groups,
         pools: &mut HashMap<Box<str>, Pool>,
     ) {
         for resource in store.list(Kind::Upstream) {
@@ -123,7 +177,8 @@
             self.boots.insert(upstream.boot);
             let peer = Peer { domain: member.domain.clone(), is_agent: true };
             self.peers.insert(member.address, peer);
-            let Some(pool) = pools.get_mut(upstream.service.as_str()) else {
+            let group = groups.of(&upstream.service);
+            let Some(pool) = group.and_then(|group| pools.get_mut(group)) else {
                 continue;
             };
             let domain_change = domain_changes.get(&member.domain).copied().unwrap_or(0);
@@ -149,55 +204,100 @@
         }
     }
 
-    fn add_services(&mut self, store: &Store, pools: HashMap<Box<str>, Pool>) {
-        for (name, mut pool) in pools {
+    fn add_pools(&mut self, groups: &Groups, pools: HashMap<Box<str>, Pool>) {
+        let members = groups.members();
+        for (group, mut pool) in pools {
             pool.members.sort_unstable_by_key(|member| member.vm);
-            self.pools.insert(name, Arc::new(pool));
+            let pool = Arc::new(pool);
+            for service in members.get(&group).into_iter().flatten() {
+                self.pools.insert(service.clone(), Arc::clone(&pool));
+            }
         }
+    }
+
+    /// Adds the routes that belong to one service.
+    fn add_listeners(&mut self, store: &Store) {
         for resource in store.list(Kind::Service) {
             let Some(Body::Service(service)) = &resource.body else {
                 continue;
             };
-            let Some(pool) = self.pools.get(resource.name.as_str()) else {
+            for listener in &service.listeners {
+                let share = Share { service: resource.name.as_str().into(), weight: 1 };
+                self.add_route(listener, Box::new([share]));
+            }
+        }
+    }
+
+    /// Adds the routes that are shared out over services.
+    fn add_routes(&mut self, store: &Store) {
+        for resource in store.list(Kind::Route) {
+            let Some(Body::Route(route)) = &resource.body else {
                 continue;
             };
-            for listener in &service.listeners {
-                let Some(key) = listener_key(listener) else {
-                    continue;
-                };
-                let is_request = listener.class() == Class::Request;
-                self.services.insert(key, Service { is_request, pool: Arc::clone(pool) });
+            let splits = route.splits.iter().filter(|split| split.weight > 0);
+            let shares = splits
+                .map(|split| Share { service: split.service.as_str().into(), weight: split.weight })
+                .collect();
+            if let Some(listener) = &route.listener {
+                self.add_route(listener, shares);
             }
         }
     }
+
+    fn add_route(&mut self, listener: &resource::Listener, shares: Box<[Share]>) {
+        let pool = shares.first().and_then(|share| self.pools.get(&share.service));
+        let (Some(key), Some(pool)) = (listener_key(listener), pool.cloned()) else {
+            return;
+        };
+        let is_request = listener.class() == Class::Request;
+        self.routes.insert(key, Route { is_request, shares, pool });
+    }
+
+    fn add_declaration(&mut self, store: &Store) {
+        let held = store.get(Kind::Declaration, DECLARATION);
+        if let Some(Body::Declaration(held)) = held.and_then(|held| held.body.as_ref()) {
+            let idle = Duration::from_millis(held.idle_ms.into());
+            self.declared = Some((held.version, Some(idle).filter(|idle| !idle.is_zero())));
+        }
+    }
 }
 
-/// The declared services, without members.
-fn pools(store: &Store) -> HashMap<Box<str>, Pool> {
-    let services = store.list(Kind::Service).filter_map(|resource| match &resource.body {
-        Some(Body::Service(service)) => Some((resource, service)),
-        _ => None,
-    });
-    let pools = services.map(|(resource, service)| {
-        let name: Box<str> = resource.name.as_str().into();
-        let pool = Pool {
-            service: name.clone(),
-            epoch: service.epoch,
-            connections: service.connections,
-            slots: service.slots,
-            cold_slots: service.cold_slots,
+/// The declared services by group, without members.
+fn pools(store: &Store, groups: &Groups) -> HashMap<Box<str>, Pool> {
+    let mut pools: HashMap<Box<str>, Pool> = HashMap::new();
+    for resource in store.list(Kind::Service) {
+        let (Some(Body::Service(service)), Some(group)) =
+            (&resource.body, groups.of(&resource.name))
+        else {
+            continue;
+        };
+        let pool = pools.entry(group.into()).or_insert_with(|| Pool {
+            epoch: 0,
+            services: BTreeMap::new(),
             members: Vec::new(),
             out: Vec::new(),
-        };
-        (name, pool)
-    });
-    pools.collect()
+        });
+        pool.epoch = pool.epoch.max(service.epoch);
+        pool.services.insert(resource.name.as_str().into(), bounds(service));
+    }
+    pools
+}
+
+fn bounds(service: &resource::Service) -> Bounds {
+    Bounds {
+        connections: service.connections,
+        slots: service.slots,
+        cold_slots: service.cold_slots,
+        cold: Duration::from_millis(service.cold_ms.into()),
+        cold_rate: service.cold_rate,
+    }
 }
 
 fn member(name: &str, upstream: &resource::Upstream) -> Option<Member> {
     Some(Member {
         vm: vm::id(name),
         name: name.into(),
+        service: upstream.service.as_str().into(),
         domain: upstream.domain.as_str().into(),
         address: upstream.address.parse().ok()?,
         boot: upstream.boot,
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -176,7 +176,8 @@
 fn directory_offers() {
     let now = Instant::now();
     let mut directory = Directory::new();
-    let offer = Offer { asked: Some(1), ..Offer::new(Bytes::from_static(b"x"), 4, now) };
+    let offer =
+        Offer { asked: Some(1), ..Offer::new(Bytes::from_static(b"x"), "a".into(), 4, now) };
     directory.offer(flow(1), offer.clone());
     assert_eq!(directory.offered(), [flow(1)]);
     directory.end(&flow(1), 1, None);
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -15,12 +15,49 @@
     let start = Instant::now();
     let mut lease = Lease::new(3 * SECOND);
     assert!(!lease.is_valid(start));
-    lease.grant(start, 3 * SECOND);
-    lease.grant(start, 3 * SECOND);
+    lease.grant(start, 3 * SECOND, 0);
+    lease.grant(start, 3 * SECOND, 0);
+    lease.catch_up(0);
     assert!(lease.is_valid(start + 2999 * MILLI));
     assert!(!lease.is_valid(start + 3 * SECOND));
 }
 
+#[test]
+fn lease_grantbeforepage() {
+    // A process that was frozen while its failure domain was taken out (revision 8) gets its
+    // renewal before the page: it must not act by the view of revision 7.
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    lease.grant(start, 3 * SECOND, 8);
+    lease.catch_up(7);
+    assert!(!lease.is_valid(start), "a grant counts for an older view");
+    lease.catch_up(8);
+    assert!(lease.is_valid(start));
+}
+
+#[test]
+fn lease_pagebeforegrant() {
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    lease.catch_up(9);
+    lease.grant(start, 3 * SECOND, 8);
+    lease.catch_up(9);
+    assert!(lease.is_valid(start));
+}
+
+#[test]
+fn lease_newergrantpending() {
+    // A grant that waits for its page does not take the place of one that counts already.
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    lease.grant(start, 3 * SECOND, 7);
+    lease.catch_up(7);
+    lease.grant(start + SECOND, 3 * SECOND, 8);
+    lease.catch_up(7);
+    assert!(lease.is_valid(start + 2 * SECOND));
+    assert!(!lease.is_valid(start + 3 * SECOND));
+}
+
 #[test]
 fn lease_vouched() {
     let start = Instant::now();
--- a/crates/hyssopdyke/tests/version.rs
+++ b/crates/hyssopdyke/tests/version.rs
@@ -114,7 +114,8 @@
 
 fn service(name: &str) -> Resource {
     let listeners = vec![listener("10.0.0.1")];
-    let service = Service { listeners, connections: 9, slots: 5, cold_slots: 1, epoch: 0 };
+    let service =
+        Service { listeners, connections: 9, slots: 5, cold_slots: 1, ..Service::default() };
     Resource { name: name.into(), body: Some(Body::Service(service)), ..Resource::default() }
 }
 
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -1,11 +1,13 @@
 //! The agent as the home of a share of its service's flows.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyssopdyke::connection::{self, Flow, Protocol, Record};
-use hyssopdyke::request::{Packet, Reset};
+use hyssopdyke::request::{Border, Packet};
+use hyssopdyke::version::Route;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
 use slog::debug;
@@ -27,7 +29,7 @@
 /// Time for which the flows of a member that is gone are kept for its return.
 const ABSENCE: Duration = Duration::from_secs(30);
 
-impl Worker {
+impl<B: Border> Worker<B> {
     /// Sends a packet to the owner of its flow, or finds an owner for a new flow.
     pub(super) fn home(&mut self, flow: Flow, packet: &Packet, forward: Forward, from: SocketAddr) {
         let opens = packet.segment.is_none_or(|segment| segment.opens());
@@ -58,31 +60,59 @@
     }
 
     fn unplaced(&mut self, flow: Flow, packet: &Packet, forward: Forward, from: SocketAddr) {
-        if !self.knows_all_flows() {
+        let opens = packet.segment.is_none_or(|segment| segment.opens());
+        if !self.knows_all_flows() && !(opens && B::SETTLES_OPENING) {
             return self.hold(forward, from);
         }
-        if packet.segment.is_none_or(|segment| segment.opens()) {
+        if opens {
             self.place(flow, forward.packet);
-        } else if let Some(reset) = Reset::answer(packet) {
+        } else if B::SETTLES_OPENING {
+            // Its owner may have restarted together with all who knew the flow. The upstream
+            // repeats what is not acknowledged, which shows who owns the flow.
+            self.metrics.count("dropped.unknown_flow");
+        } else {
             debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
             self.metrics.count("reset.unknown");
-            self.send_to_fabric(&reset.encode());
+            self.answer_by_reset(packet);
         }
     }
 
     /// Starts to place a new flow.
     fn place(&mut self, flow: Flow, packet: Bytes) {
-        let now = Instant::now();
-        self.directory.offer(flow, connection::Offer::new(packet, TRIES, now));
+        let view = Arc::clone(self.membership.view());
+        let Some(route) = view.route(flow.service, flow.protocol) else { return };
+        let Some(service) = self.draw_service(route) else { return };
+        let offer = connection::Offer::new(packet, service, TRIES, Instant::now());
+        self.directory.offer(flow, offer);
         self.metrics.count("placed");
         self.ask_next(flow);
     }
 
+    /// Draws the service of a new flow by the route's weights.
+    fn draw_service(&mut self, route: &Route) -> Option<Box<str>> {
+        route.draw(rand::random()).map(Into::into)
+    }
+
+    /// Places a flow that an upstream gave back at another one.
+    pub(super) fn place_again(&mut self, flow: Flow, former: vm::Id, packet: Bytes) {
+        self.directory.end(&flow, former, None);
+        if self.directory.get(&flow).is_none() {
+            self.place(flow, packet);
+        }
+        if let Some(offer) = self.directory.offer_mut(&flow)
+            && !offer.declined.contains(&former)
+        {
+            offer.declined.push(former);
+        }
+    }
+
     /// Offers a new flow between the ends of a former one to the former owner first, which knows
     /// whether the former one is over.
     fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes) {
-        let now = Instant::now();
-        let offer = connection::Offer::new(packet.clone(), TRIES, now);
+        let view = Arc::clone(self.membership.view());
+        let Some(route) = view.route(flow.service, flow.protocol) else { return };
+        let Some(service) = self.draw_service(route) else { return };
+        let offer = connection::Offer::new(packet.clone(), service, TRIES, Instant::now());
         self.directory.offer(flow, connection::Offer { asked: Some(owner), ..offer });
         self.send_offer(owner, packet);
     }
@@ -92,7 +122,7 @@
         loop {
             let Some(pool) = self.pool.clone() else { return };
             let Some(offer) = self.directory.offer_mut(&flow) else { return };
-            let candidates = self.peers.candidates(&pool, &offer.declined);
+            let candidates = self.peers.candidates(&pool, &offer.service, &offer.declined);
             let chosen = self.draw.pick(&candidates).filter(|_| offer.tries > 0);
             offer.tries = offer.tries.saturating_sub(1);
             offer.asked = chosen;
@@ -112,11 +142,11 @@
 
     /// Offers a flow to this agent's own upstream; true if it needs no other member.
     fn admit_own(&mut self, flow: Flow, bytes: &Bytes) -> bool {
-        let Some((packet, is_request)) = self.checked(bytes) else {
+        let Some((packet, route)) = self.checked(bytes) else {
             self.directory.remove(&flow);
             return true;
         };
-        let is_admitted = self.admit(self.me, flow, &packet, is_request, bytes).is_ok();
+        let is_admitted = self.admit(self.me, flow, &packet, &route, bytes).is_ok();
         if is_admitted {
             self.directory.remove(&flow);
         } else if let Some(offer) = self.directory.offer_mut(&flow) {
@@ -140,9 +170,8 @@
         let Some(Record::Offered(offer)) = self.directory.remove(&flow) else { return };
         debug!(self.events.logger(), "flow refused"; "flow" => %flow);
         self.metrics.count("refused");
-        let packet = Packet::parse(&offer.packet).ok();
-        if let Some(reset) = packet.as_ref().and_then(Reset::answer) {
-            self.send_to_fabric(&reset.encode());
+        if let Ok(packet) = self.border.parse(&offer.packet) {
+            self.answer_by_reset(&packet);
         }
     }
 
@@ -152,7 +181,7 @@
             return self.metrics.count("unexpected");
         };
         let isn = match self.directory.get(&flow) {
-            Some(Record::Offered(offer)) => first_sequence(&offer.packet),
+            Some(Record::Offered(offer)) => self.first_sequence(&offer.packet),
             Some(Record::Owned { isn, .. }) => *isn,
             // The flow has ended, or this agent is no longer its home.
             None => return,
@@ -174,6 +203,9 @@
             return self.metrics.count("unexpected");
         };
         self.metrics.count("declined");
+        if declined.reason() == Reason::Returned {
+            return self.place_again(flow, vm, declined.packet.clone());
+        }
         let Some(offer) = self.directory.offer_mut(&flow).filter(|o| o.asked == Some(vm)) else {
             return;
         };
@@ -240,7 +272,7 @@
             return self.refuse(flow);
         }
         offer.sent = now;
-        let all = self.peers.candidates(&pool, &[]);
+        let all = self.peers.candidates(&pool, &offer.service, &[]);
         let with_room = self.peers.with_room(&all);
         if let Some(vm) = self.draw.pick(if with_room.is_empty() { &all } else { &with_room }) {
             self.offer_to(flow, vm);
@@ -292,13 +324,14 @@
         }
     }
 
+    /// Sequence number of a flow's first packet; 0 for a datagram.
+    fn first_sequence(&self, packet: &Bytes) -> u32 {
+        let packet = self.border.parse(packet).ok();
+        packet.and_then(|packet| packet.segment).map_or(0, |segment| segment.sequence)
+    }
+
     /// Gives up the flows of members that did not return.
     pub(super) fn sweep_records(&mut self, now: Instant) {
         self.directory.expire_absent(now, ABSENCE);
     }
 }
-
-fn first_sequence(packet: &Bytes) -> u32 {
-    let packet = Packet::parse(packet).ok();
-    packet.and_then(|packet| packet.segment).map_or(0, |segment| segment.sequence)
-}
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -14,24 +14,51 @@
 use std::net::SocketAddr;
 
 use eyre::{Result, WrapErr};
+use hyssopdyke::request::{Border, Tunneled};
+use hyssopdyke_platform::{Head, readiness, reports};
 use hyssopdyke_wire::session::hello;
 use hyssopdyke_wire::{Key, Purpose, resource};
 use slog::info;
+use tokio::sync::mpsc;
 
 use crate::log::Events;
 use crate::metrics::Metrics;
-use crate::node::{Announcement, Link, Membership, Session, Tunnel};
-use crate::settings::{Agent, Settings};
+use crate::node::{Announcement, Link, Membership, Server, Session, Tunnel};
+use crate::reload::Control;
+use crate::settings::{Agent, PacketForm, Settings};
 use crate::stop::Stop;
 use worker::{Sockets, Worker};
 
+/// Reports of the upstream that may wait.
+const REPORTS: usize = 16;
+
 /// Runs an agent until it is asked to stop.
-pub(crate) async fn run(settings: Settings<Agent>, events: Events, mut stop: Stop) -> Result<()> {
+pub(crate) async fn run(
+    settings: Settings<Agent>,
+    events: Events,
+    control: Control,
+    stop: Stop,
+) -> Result<()> {
+    let fabric = settings.role.fabric;
+    match settings.role.packets {
+        PacketForm::Tunneled => serve(Tunneled { fabric }, settings, events, control, stop).await,
+        PacketForm::Platform => {
+            serve(Head { caller_port: fabric.port() }, settings, events, control, stop).await
+        }
+    }
+}
+
+async fn serve(
+    border: impl Border,
+    settings: Settings<Agent>,
+    events: Events,
+    control: Control,
+    mut stop: Stop,
+) -> Result<()> {
     let Settings { common, role } = settings;
     let key = Key::derive(&common.cluster.passphrase, Purpose::Datagram);
-    let answers = SocketAddr::new(common.vm.address, role.answer_port);
-    let answers =
-        Tunnel::bind(answers).wrap_err_with(|| format!("[agent] answer_port: {answers}"))?;
+    let answers = Tunnel::bind(role.answers)
+        .wrap_err_with(|| format!("[agent] answers: {}", role.answers))?;
     let peers = SocketAddr::new(common.vm.address, role.peer_port);
     let link = Link::bind(peers, key).wrap_err_with(|| format!("[agent] peer_port: {peers}"))?;
     let boot = rand::random();
@@ -47,11 +74,27 @@
     };
     info!(events.logger(), "agent started"; "service" => &*role.service,
         "answers" => %answers.local_addr()?, "peers" => %link.local_addr()?);
-    let mut session = Session::spawn(&common.cluster, announcement, events.clone());
+    let mut session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("agent", &common)?;
-    let sockets = Sockets { link, answers };
-    let mut worker = Worker::new(&common, role, boot, sockets, membership, metrics, events.clone());
+    let (deliveries, received) = mpsc::channel(REPORTS);
+    let _reports = match role.reports {
+        Some(address) => {
+            Some(Server::bind("[agent] reports", address, reports::router(deliveries)).await?)
+        }
+        None => None,
+    };
+    let sockets = Sockets { link, answers, reports: received };
+    let readiness = role.readiness;
+    let mut worker =
+        Worker::new(border, &common, role, boot, sockets, membership, metrics, events.clone());
+    let _readiness = match readiness {
+        Some(address) => {
+            let router = readiness::router(worker.ready());
+            Some(Server::bind("[agent] readiness", address, router).await?)
+        }
+        None => None,
+    };
     tokio::select! {
         result = worker.run(&mut session) => return result,
         () = stop.asked() => {}
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use hyssopdyke::connection::{self, Event, Flow, Protocol};
-use hyssopdyke::request::{Packet, Reset};
+use hyssopdyke::request::{Border, Packet, Reset};
+use hyssopdyke::version::Route;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Room, datagram::Body};
 use slog::{debug, info, warn};
@@ -28,7 +29,7 @@
 /// Probes without an answer after which a flow is given up.
 const PROBES: u32 = 3;
 
-impl Worker {
+impl<B: Border> Worker<B> {
     /// Whether a packet belongs to a flow that this agent owns.
     pub(super) fn is_own(&self, flow: &Flow, packet: &Packet) -> bool {
         let Some(connection) = self.table.get(flow) else {
@@ -53,14 +54,15 @@
         let Some(home) = self.peers.id(from) else {
             return self.metrics.count("dropped.no_peer");
         };
-        let Some((packet, is_request)) = self.checked(&offer.packet) else {
+        let Some((packet, route)) = self.checked(&offer.packet) else {
             return;
         };
         let flow = packet.inbound();
-        let answer = match self.admit(home, flow, &packet, is_request, &offer.packet) {
+        let answer = match self.admit(home, flow, &packet, &route, &offer.packet) {
             Ok(()) => Body::Accepted(Accepted { flow: Some(flow.into()) }),
             Err(reason) => {
-                Body::Declined(Declined { flow: Some(flow.into()), reason: reason as i32 })
+                let (flow, reason) = (Some(flow.into()), reason as i32);
+                Body::Declined(Declined { flow, reason, packet: Bytes::new() })
             }
         };
         self.send_to(from, answer);
@@ -74,12 +76,13 @@
         home: vm::Id,
         flow: Flow,
         packet: &Packet,
-        is_request: bool,
+        route: &Route,
         bytes: &Bytes,
     ) -> Result<(), Reason> {
         let now = Instant::now();
         // Until the flows of a former process are known, the upstream's load is not.
-        if !self.may_act(now) || self.is_fresh {
+        let knows_load = !self.is_fresh || B::SETTLES_OPENING;
+        if !self.may_act(now) || !knows_load {
             return Err(Reason::Inactive);
         }
         if self.is_own(&flow, packet) {
@@ -87,9 +90,9 @@
             return Ok(());
         }
         self.forget(&flow);
-        self.check_room(home, &flow, is_request)?;
+        self.check_room(home, &flow, route)?;
         let isn = packet.segment.map_or(0, |segment| segment.sequence);
-        self.table.insert(flow, connection::State::new(isn, now, is_request));
+        self.table.insert(flow, connection::State::new(isn, now, route.is_request));
         debug!(self.events.logger(), "flow admitted"; "flow" => %flow,
             "connections" => self.table.connections(), "slots" => self.table.slots());
         self.metrics.count("admitted");
@@ -98,28 +101,33 @@
         Ok(())
     }
 
-    fn check_room(&mut self, home: vm::Id, flow: &Flow, is_request: bool) -> Result<(), Reason> {
+    fn check_room(&mut self, home: vm::Id, flow: &Flow, route: &Route) -> Result<(), Reason> {
+        let now = Instant::now();
         let hash = self.hash(flow);
         let pool = self.pool.as_ref().ok_or(Reason::Inactive)?;
         if pool.top(hash).0 != Some(home) {
             return Err(Reason::NotHome);
         }
-        if self.is_leaving || pool.member(self.me).is_none_or(|member| member.draining) {
+        let is_drained = pool.member(self.me).is_none_or(|member| member.draining);
+        if self.is_leaving || is_drained || !self.is_serving(now) {
             return Err(Reason::Draining);
         }
-        let is_ejected = self.limit.is_ejected(Instant::now());
-        if is_ejected && !self.peers.takes_ejected(pool) {
+        if !route.allows(&self.settings.service) {
+            return Err(Reason::Inactive);
+        }
+        let is_ejected = self.limit.is_ejected(now);
+        if is_ejected && !self.peers.takes_ejected(pool, &self.settings.service) {
             return Err(Reason::Full);
         }
-        let is_full = self.table.connections() >= pool.connections
-            || (is_request && self.table.slots() >= self.limit.current());
+        let is_full = self.table.connections() >= self.bounds().connections
+            || (route.is_request && self.table.slots() >= self.limit.current());
         if !is_full {
             return Ok(());
         }
         if self.waiters.len() == WAITERS {
             self.waiters.pop_front();
         }
-        self.waiters.push_back((home, Instant::now()));
+        self.waiters.push_back((home, now));
         Err(Reason::Full)
     }
 
@@ -144,17 +152,21 @@
     /// Passes an answer of the upstream on to the fabric.
     pub(super) fn answered(&mut self, bytes: &Bytes) {
         let now = Instant::now();
-        if !self.may_act(now) {
+        if !self.may_serve_own(now) {
             return self.metrics.count("dropped.inactive");
         }
-        let Ok(packet) = Packet::parse(bytes) else {
+        let Ok(packet) = self.border.parse(bytes) else {
             return self.metrics.count("dropped.malformed");
         };
+        if packet.is_returned {
+            return self.returned(&packet, bytes);
+        }
         let flow = packet.outbound();
         let busy = self.table.slots();
-        let Some(event) = self.table.outbound(&flow, packet.segment.as_ref(), now) else {
-            return self.refuse_answer(&packet);
-        };
+        if self.table.get(&flow).is_none() && !self.claim(&flow, &packet, now) {
+            return;
+        }
+        let event = self.table.outbound(&flow, packet.segment.as_ref(), now).flatten();
         match event {
             Some(Event::Answered(age)) => {
                 let since = now.checked_sub(age).unwrap_or(now);
@@ -164,15 +176,69 @@
             Some(Event::Opened(_)) | None => {}
         }
         self.metrics.count("answered");
-        self.send_to_fabric(bytes);
+        self.send_to_caller(bytes, flow.caller);
         self.tell_room(now);
     }
 
-    /// Resets a flow that the upstream holds and that nobody else knows of any more.
-    fn refuse_answer(&mut self, packet: &Packet) {
-        self.metrics.count("dropped.unknown_answer");
-        if let Some(reset) = Reset::answer(packet).filter(|_| !self.is_fresh) {
-            self.send_to_upstream(&reset.encode());
+    /// Takes on a flow that the upstream holds and this agent does not know, or ends it at the
+    /// upstream; true if the packet is for the caller.
+    fn claim(&mut self, flow: &Flow, packet: &Packet, now: Instant) -> bool {
+        let reset = Reset::answer(packet).map(|reset| self.border.reset_upstream(&reset));
+        match reset {
+            Some(Some(reset)) => {
+                self.metrics.count("dropped.unknown_answer");
+                if !self.is_fresh {
+                    self.send_to_upstream(&reset);
+                }
+                false
+            }
+            Some(None) => {
+                debug!(self.events.logger(), "flow taken on from its upstream"; "flow" => %flow);
+                self.metrics.count("claimed");
+                self.table.insert(*flow, connection::State::adopted(0, now, false));
+                self.note_opened(flow, 0, 0);
+                true
+            }
+            // The upstream resets a flow that this agent does not know.
+            None => B::SETTLES_OPENING,
+        }
+    }
+
+    /// Takes a caller's packet that the upstream gave back.
+    ///
+    /// A first packet has run nothing, so that its flow may be placed elsewhere. The upstream does
+    /// not hold the flow of any other packet.
+    fn returned(&mut self, packet: &Packet, bytes: &Bytes) {
+        let flow = packet.inbound();
+        self.metrics.count("returned");
+        if packet.segment.is_some_and(|segment| segment.opens()) {
+            return self.place_elsewhere(flow, &self.border.restore(bytes));
+        }
+        if self.table.remove(&flow).is_some() {
+            debug!(self.events.logger(), "upstream does not hold the flow"; "flow" => %flow);
+            self.note_ended(&flow, 0);
+            self.answer_by_reset(packet);
+        }
+    }
+
+    /// Gives a flow that the upstream has not taken back to its home.
+    fn place_elsewhere(&mut self, flow: Flow, bytes: &Bytes) {
+        let hash = self.hash(&flow);
+        let home = self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm);
+        self.table.remove(&flow);
+        let Some(home) = home else { return };
+        if home == self.me {
+            return self.place_again(flow, self.me, bytes.clone());
+        }
+        let (reason, flow) = (Reason::Returned as i32, Some(flow.into()));
+        self.send(home, Body::Declined(Declined { flow, reason, packet: bytes.clone() }));
+    }
+
+    /// Resets the caller of a packet whose flow does not exist.
+    pub(super) fn answer_by_reset(&mut self, packet: &Packet) {
+        if let Some(reset) = Reset::answer(packet) {
+            let bytes = self.border.reset_caller(&reset);
+            self.send_to_caller(&bytes, packet.source);
         }
     }
 
@@ -202,10 +268,15 @@
         }
     }
 
-    /// Gives all flows up, as the agent's failure domain was taken out.
-    pub(super) fn give_up_all(&mut self) {
+    /// Gives all flows up, as the agent's failure domain was taken out: at once where callers can
+    /// be told, and otherwise after the time that is left to them.
+    pub(super) fn taken_out(&mut self) {
         let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
         info!(self.events.logger(), "failure domain is out"; "flows" => flows.len());
+        if !B::RESETS_OPEN {
+            self.out_since = Some(Instant::now());
+            return;
+        }
         // An agent that learns of it late, after its lease, leaves its upstream alone; callers
         // are outside the domain, and those that only listen learn of the end in no other way.
         let may_send = self.membership.may_act(Instant::now());
@@ -219,6 +290,25 @@
         self.limit.cool(Instant::now());
     }
 
+    /// Gives all flows up, as the upstream does not hold them any more.
+    pub(super) fn lose_all(&mut self) {
+        let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
+        for flow in flows {
+            self.reset_caller(&flow);
+            self.forget(&flow);
+        }
+        self.limit.cool(Instant::now());
+    }
+
+    /// Forgets all flows without a word to their ends.
+    pub(super) fn forget_all(&mut self) {
+        if !self.table.is_empty() {
+            info!(self.events.logger(), "flows given up"; "flows" => self.table.len());
+            self.table = connection::Table::new();
+            self.limit.cool(Instant::now());
+        }
+    }
+
     /// Closes what is over, probes what is silent, and gives up what does not answer.
     pub(super) fn sweep_flows(&mut self, now: Instant) {
         for flow in self.table.expired(now, LINGER, self.settings.datagram_idle) {
@@ -230,6 +320,9 @@
             self.reset_upstream(&flow);
             self.forget(&flow);
         }
+        if B::SETTLES_OPENING {
+            return self.sweep_idle(now);
+        }
         for (flow, probes) in self.table.silent(now, self.settings.probe_after, PROBE_INTERVAL) {
             if probes >= PROBES {
                 info!(self.events.logger(), "silent flow given up"; "flow" => %flow);
@@ -242,6 +335,14 @@
         self.verify_adopted(now);
     }
 
+    /// Forgets flows that were silent for longer than is declared.
+    fn sweep_idle(&mut self, now: Instant) {
+        let Some(idle) = self.membership.view().idle() else { return };
+        for flow in self.table.idle(now, idle) {
+            self.forget(&flow);
+        }
+    }
+
     /// Probes adopted flows, since the upstream may have finished some of them meanwhile.
     pub(super) fn verify_adopted(&mut self, now: Instant) {
         if !self.may_act(now) {
@@ -256,11 +357,11 @@
         let Some(probe) = self.table.probe(flow, now) else {
             return;
         };
-        if let Some(upstream) = probe.upstream {
-            self.send_to_upstream(&upstream.encode());
+        if let Some(probe) = probe.upstream.and_then(|probe| self.border.probe(&probe)) {
+            self.send_to_upstream(&probe);
         }
-        if let Some(caller) = probe.caller {
-            self.send_to_fabric(&caller.encode());
+        if let Some(probe) = probe.caller.and_then(|probe| self.border.probe(&probe)) {
+            self.send_to_caller(&probe, flow.caller);
         }
     }
 
@@ -287,13 +388,15 @@
 
     fn reset_caller(&mut self, flow: &Flow) {
         if let Some(reset) = self.table.resets(flow).caller {
-            self.send_to_fabric(&reset.encode());
+            let bytes = self.border.reset_caller(&reset);
+            self.send_to_caller(&bytes, flow.caller);
         }
     }
 
     fn reset_upstream(&mut self, flow: &Flow) {
-        if let Some(reset) = self.table.resets(flow).upstream {
-            self.send_to_upstream(&reset.encode());
+        let reset = self.table.resets(flow).upstream;
+        if let Some(reset) = reset.and_then(|reset| self.border.reset_upstream(&reset)) {
+            self.send_to_upstream(&reset);
         }
     }
 
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use hyssopdyke::request::Candidate;
-use hyssopdyke::version::Pool;
+use hyssopdyke::version::{Member, Pool};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::Load;
 
@@ -35,9 +35,14 @@
     /// Members that may take a new flow, without those that declined it.
     ///
     /// Ejected members are left out, unless fewer than half of the service would be left.
-    pub(super) fn candidates(&self, pool: &Pool, declined: &[vm::Id]) -> Vec<Candidate> {
-        let takes_ejected = self.takes_ejected(pool);
-        let active = pool.members.iter().filter(|member| !member.draining);
+    pub(super) fn candidates(
+        &self,
+        pool: &Pool,
+        service: &str,
+        declined: &[vm::Id],
+    ) -> Vec<Candidate> {
+        let takes_ejected = self.takes_ejected(pool, service);
+        let active = self.active(pool, service);
         active
             .filter(|member| takes_ejected || !self.is_ejected(member.vm))
             .filter(|member| !declined.contains(&member.vm))
@@ -49,12 +54,26 @@
     }
 
     /// Whether so many members are ejected that these must serve as well.
-    pub(super) fn takes_ejected(&self, pool: &Pool) -> bool {
-        let active = || pool.members.iter().filter(|member| !member.draining);
+    pub(super) fn takes_ejected(&self, pool: &Pool, service: &str) -> bool {
+        let active = || self.active(pool, service);
         let sound = active().filter(|member| !self.is_ejected(member.vm)).count();
         sound * 2 < active().count()
     }
 
+    /// Members of a service whose upstreams take new flows.
+    fn active<'a>(
+        &'a self,
+        pool: &'a Pool,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Member> + 'a {
+        let members = pool.members.iter().filter(move |member| *member.service == *service);
+        members.filter(|member| !member.draining && !self.is_closed(member.vm))
+    }
+
+    fn is_closed(&self, vm: vm::Id) -> bool {
+        self.loads.get(&vm).is_some_and(|load| load.closed)
+    }
+
     fn is_ejected(&self, vm: vm::Id) -> bool {
         self.loads.get(&vm).is_some_and(|load| load.ejected)
     }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -5,6 +5,7 @@
 
 use hyssopdyke::connection::{self, Flow};
 use hyssopdyke::process::Barrier;
+use hyssopdyke::request::Border;
 use hyssopdyke::version::Pool;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Record, Report, Reported, Stage, datagram::Body};
@@ -15,7 +16,7 @@
 /// Records in one report, so that it fits a datagram.
 const RECORDS: usize = 24;
 
-impl Worker {
+impl<B: Border> Worker<B> {
     /// Whether every other member has reported the flows whose home this agent is.
     pub(super) fn knows_all_flows(&self) -> bool {
         self.knows_records() && self.has_all(&self.own_barrier)
@@ -267,11 +268,11 @@
             return;
         }
         let view = self.membership.view();
-        let Some(service) = view.service(flow.service, flow.protocol) else {
+        let Some(route) = view.route(flow.service, flow.protocol) else {
             return;
         };
         // Whether the request still runs is unknown; its slot is taken until it has ended.
-        let connection = connection::State::adopted(isn, Instant::now(), service.is_request);
+        let connection = connection::State::adopted(isn, Instant::now(), route.is_request);
         debug!(self.events.logger(), "flow adopted"; "flow" => %flow);
         self.metrics.count("adopted");
         self.table.insert(flow, connection);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -8,17 +8,19 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Table};
-use hyssopdyke::process::{Barrier, Limit, Outbox};
-use hyssopdyke::request::{Draw, Packet};
-use hyssopdyke::version::Pool;
+use hyssopdyke::process::{Barrier, Change, Limit, Outbox, Phase, Upstream};
+use hyssopdyke::request::{Border, Draw, Packet};
+use hyssopdyke::version::{Bounds, Pool, Route};
 use hyssopdyke::vm;
+use hyssopdyke_platform::reports::Delivery;
 use hyssopdyke_wire::datagram::{
-    Datagram, Forward, Load, Offer, Owner, Pong, Record, Report, Unknown, datagram::Body,
+    Datagram, Forward, Load, Offer, Owner, Record, Report, Unknown, datagram::Body,
 };
 use hyssopdyke_wire::resource::Usage;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{debug, info, warn};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Interval, interval};
 
 use super::peers::Peers;
@@ -39,6 +41,9 @@
 /// Time for the last reports before a graceful stop.
 const FAREWELL: Duration = Duration::from_secs(1);
 
+/// Part of the time within which a failure domain must be out that is left for the news to travel.
+const OUT_MARGIN: Duration = Duration::from_secs(1);
+
 /// Packets that may wait for the reports of other members.
 const HELD_PACKETS: usize = 512;
 
@@ -54,6 +59,8 @@
     pub(super) link: Link,
     /// To and from the upstream, and to the fabric.
     pub(super) answers: Tunnel,
+    /// Reports of the upstream; none come where it does not report.
+    pub(super) reports: mpsc::Receiver<Delivery>,
 }
 
 /// Records that wait to be reported to one holder.
@@ -65,13 +72,19 @@
 
 /// All state of an agent.
 #[allow(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
-pub(super) struct Worker {
+pub(super) struct Worker<B> {
+    pub(super) border: B,
     pub(super) me: vm::Id,
     pub(super) boot: u64,
     pub(super) domain: Box<str>,
     pub(super) settings: Agent,
     pub(super) link: Link,
     pub(super) answers: Tunnel,
+    reports: mpsc::Receiver<Delivery>,
+    /// What the upstream says of itself.
+    pub(super) upstream: Upstream,
+    /// Whether the agent can serve.
+    ready: watch::Sender<bool>,
     pub(super) membership: Membership,
     pub(super) metrics: Metrics,
     pub(super) events: Events,
@@ -80,6 +93,8 @@
     pub(super) pool: Option<Arc<Pool>>,
     /// The agent is one of the members.
     pub(super) is_member: bool,
+    /// Since when the failure domain is out.
+    pub(super) out_since: Option<Instant>,
     /// The process is about to stop and takes no new flows.
     pub(super) is_leaving: bool,
     /// Records that are not this agent's to keep may be in the directory.
@@ -102,8 +117,10 @@
     pub(super) draw: Draw<SmallRng>,
 }
 
-impl Worker {
+impl<B: Border> Worker<B> {
+    #[allow(clippy::too_many_arguments, reason = "a process has that many parts")]
     pub(super) fn new(
+        border: B,
         common: &Common,
         settings: Agent,
         boot: u64,
@@ -112,8 +129,12 @@
         metrics: Metrics,
         events: Events,
     ) -> Self {
-        let Sockets { link, answers } = sockets;
+        let Sockets { link, answers, reports } = sockets;
         Self {
+            border,
+            reports,
+            upstream: Upstream::new(settings.heartbeat),
+            ready: watch::Sender::new(false),
             me: vm::id(&common.vm.name),
             boot,
             domain: common.vm.domain.clone(),
@@ -126,6 +147,7 @@
             events,
             pool: None,
             is_member: false,
+            out_since: None,
             is_leaving: false,
             must_prune: false,
             is_fresh: true,
@@ -161,6 +183,7 @@
         tokio::select! {
             ready = self.link.readable() => { ready?; self.receive_batch()?; }
             ready = self.answers.readable() => { ready?; self.answer_batch()?; }
+            Some(delivery) = self.reports.recv() => self.reported_by_upstream(delivery),
             Some(update) = session.update() => {
                 if self.membership.update(update, session) {
                     self.view_changed();
@@ -199,6 +222,18 @@
         self.is_member && self.membership.may_act(now)
     }
 
+    /// Whether flows that the agent owns may be served now: for a while also after its failure
+    /// domain was taken out, where their callers cannot be told that they are given up.
+    pub(super) fn may_serve_own(&self, now: Instant) -> bool {
+        let is_finishing = self.out_since.is_some_and(|since| now < since + self.out_grace());
+        (self.is_member || is_finishing) && self.membership.may_act(now)
+    }
+
+    /// Time for which flows are served on in a failure domain that is out.
+    fn out_grace(&self) -> Duration {
+        self.settings.out_within.saturating_sub(OUT_MARGIN)
+    }
+
     pub(super) fn hash(&self, flow: &Flow) -> u64 {
         flow.hash(self.keys)
     }
@@ -218,8 +253,9 @@
         }
     }
 
-    pub(super) fn send_to_fabric(&mut self, packet: &[u8]) {
-        if !packet.is_empty() && !self.answers.send(packet, self.settings.fabric) {
+    /// Sends a packet to a caller.
+    pub(super) fn send_to_caller(&mut self, packet: &[u8], caller: SocketAddr) {
+        if !packet.is_empty() && !self.answers.send(packet, self.border.toward(caller)) {
             self.metrics.count("dropped.send");
         }
     }
@@ -277,7 +313,8 @@
                 if let (Some(vm), Some(load)) = (self.peers.id(from), ping.load) {
                     self.peers.note(vm, load);
                 }
-                self.send_to(from, Body::Pong(Pong { nonce: ping.nonce }));
+                let pong = self.membership.pong(ping, Instant::now());
+                self.send_to(from, Body::Pong(pong));
             }
             Some(Body::Pong(pong)) => self.membership.vouch(from, revision, pong),
             Some(Body::Pull(pull)) => self.membership.serve(&mut self.link, from, pull),
@@ -293,7 +330,8 @@
 
     /// Takes a caller's packet, as the owner of its flow, as its home, or to pass it on.
     pub(super) fn forwarded(&mut self, forward: Forward, from: SocketAddr) {
-        if !self.may_act(Instant::now()) {
+        let now = Instant::now();
+        if !self.may_serve_own(now) {
             return self.metrics.count("dropped.inactive");
         }
         let Some((packet, _)) = self.checked(&forward.packet) else {
@@ -303,6 +341,9 @@
         if self.is_own(&flow, &packet) {
             return self.deliver(&flow, &packet, &forward.packet);
         }
+        if !self.may_act(now) {
+            return self.metrics.count("dropped.inactive");
+        }
         // What is left here is a closed flow whose ends begin a new one, which may go to another
         // upstream: its packets must not be taken for late ones of the closed flow.
         self.forget(&flow);
@@ -318,19 +359,36 @@
         }
     }
 
-    /// Reads a caller's packet and refuses one of another service.
-    pub(super) fn checked(&mut self, bytes: &Bytes) -> Option<(Packet, bool)> {
-        let Ok(packet) = Packet::parse(bytes) else {
+    /// Reads a caller's packet and refuses one that no route of the agent's service has.
+    pub(super) fn checked(&mut self, bytes: &Bytes) -> Option<(Packet, Route)> {
+        let Ok(packet) = self.border.parse(bytes) else {
             self.metrics.count("dropped.malformed");
             return None;
         };
         let view = Arc::clone(self.membership.view());
-        let service = view.service(packet.destination, packet.protocol());
-        let service = service.filter(|service| service.pool.service == self.settings.service);
-        if service.is_none() {
+        let route = view.route(packet.destination, packet.protocol());
+        let route = route.filter(|route| route.pool.services.contains_key(&self.settings.service));
+        if route.is_none() {
             self.metrics.count("dropped.foreign");
         }
-        service.map(|service| (packet, service.is_request))
+        route.map(|route| (packet, route.clone()))
+    }
+
+    /// What the agent's upstream bears.
+    pub(super) fn bounds(&self) -> Bounds {
+        let pool = self.pool.as_ref();
+        let bounds = pool.and_then(|pool| pool.services.get(&self.settings.service));
+        bounds.copied().unwrap_or_default()
+    }
+
+    /// Whether new flows may go to the upstream.
+    pub(super) fn is_serving(&self, now: Instant) -> bool {
+        self.settings.reports.is_none() || self.upstream.is_serving(now)
+    }
+
+    /// Tells whether the agent can serve.
+    pub(super) fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
     }
 
     /// Tells the entry that took the packet who owns its flow; 0 for nobody it should remember.
@@ -366,13 +424,15 @@
         self.is_member = self.pool.as_ref().is_some_and(|pool| {
             pool.member(self.me).is_some_and(|member| member.boot == self.boot)
         });
-        if was_member && view.is_out(&self.domain) {
-            self.give_up_all();
+        let is_out = view.is_out(&self.domain);
+        if was_member && is_out {
+            self.taken_out();
         }
+        self.out_since = self.out_since.filter(|_| is_out);
         let Some(pool) = self.pool.clone() else {
             return;
         };
-        self.limit.declare(pool.cold_slots, pool.slots);
+        self.declare_limit();
         let former_epoch = former.map_or(0, |former| former.epoch);
         if pool.epoch != former_epoch {
             info!(self.events.logger(), "members changed"; "epoch" => pool.epoch,
@@ -396,6 +456,9 @@
         if self.may_act(now) {
             self.sweep_flows(now);
         }
+        if self.out_since.is_some_and(|since| now >= since + self.out_grace()) {
+            self.forget_all();
+        }
         self.sweep_records(now);
         self.metrics.gauge("connections", self.table.connections().into());
         self.metrics.gauge("slots", self.table.slots().into());
@@ -411,10 +474,44 @@
         }
     }
 
+    /// Holds the learned limit within what is declared.
+    fn declare_limit(&mut self) {
+        let bounds = self.bounds();
+        let told = self.upstream.last().map_or(u32::MAX, |report| report.slots.max(1));
+        self.limit.declare(bounds.cold_slots, bounds.slots.min(told));
+    }
+
+    /// Takes in a report of the upstream; it counts before it is acknowledged.
+    fn reported_by_upstream(&mut self, (report, acknowledge): Delivery) {
+        let now = Instant::now();
+        let phase = report.phase;
+        let change = self.upstream.report(report, now);
+        match change {
+            Change::None | Change::Same => {}
+            Change::Started => {
+                info!(self.events.logger(), "upstream started"; "phase" => ?phase);
+                self.lose_all();
+                self.declare_limit();
+                self.exchange_loads(now);
+            }
+            Change::Phase => {
+                info!(self.events.logger(), "upstream changed"; "phase" => ?phase);
+                if phase == Phase::Gone {
+                    self.lose_all();
+                }
+                self.exchange_loads(now);
+            }
+        }
+        // An upstream that does not wait for the acknowledgement has made up its mind.
+        let _ = acknowledge.send(());
+    }
+
     pub(super) fn exchange_loads(&mut self, now: Instant) {
         let Some(pool) = self.pool.clone() else {
             return;
         };
+        let is_ready = self.may_act(now);
+        self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
         let load = self.load(now);
         self.peers.note(self.me, load);
         let me = self.me;
@@ -427,12 +524,17 @@
 
     fn load(&self, now: Instant) -> Load {
         let room = match &self.pool {
-            Some(pool) if self.table.connections() < pool.connections => {
+            Some(_) if self.table.connections() < self.bounds().connections => {
                 self.limit.current().saturating_sub(self.table.slots())
             }
             _ => 0,
         };
-        Load { weight: self.limit.weight(), room, ejected: self.limit.is_ejected(now) }
+        Load {
+            weight: self.limit.weight(),
+            room,
+            ejected: self.limit.is_ejected(now),
+            closed: self.is_leaving || !self.is_serving(now),
+        }
     }
 
     fn usage(&self) -> Usage {
--- a/crates/hyssopdyked/src/command.rs
+++ b/crates/hyssopdyked/src/command.rs
@@ -5,6 +5,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use crate::reload;
 use crate::settings::{Agent, Common, Control, Entry, Error, Form, Role, Settings};
 use crate::stop::Stop;
 use crate::{agent, control, entry, log};
@@ -93,9 +94,9 @@
         Some(("agent", matches)) => start::<Agent>(matches, agent::run),
         Some(("control", matches)) => {
             let form = matches.get_flag("form");
-            start::<Control>(matches, async move |mut settings, events, stop| {
-                settings.role.form = form;
-                control::run(settings, events, stop).await
+            start::<Control>(matches, async move |mut settings, events, control, stop| {
+                settings.role.form |= form;
+                control::run(settings, events, control, stop).await
             })
         }
         Some(("completion", matches)) => complete(matches),
@@ -111,9 +112,9 @@
     EXIT_STOPPED
 }
 
-fn start<R: Role>(
+fn start<R: Role + Send + Sync + 'static>(
     matches: &ArgMatches,
-    run: impl AsyncFnOnce(Settings<R>, log::Events, Stop) -> eyre::Result<()>,
+    run: impl AsyncFnOnce(Settings<R>, log::Events, reload::Control, Stop) -> eyre::Result<()>,
 ) -> u8 {
     let settings = match open::<R>(matches) {
         Ok(settings) => settings,
@@ -126,7 +127,8 @@
         print!("{settings}");
         return EXIT_STOPPED;
     }
-    match serve(settings, run) {
+    let Some(path) = matches.get_one::<PathBuf>("config") else { return EXIT_USAGE };
+    match serve(path, settings, run) {
         Ok(true) => EXIT_STOPPED,
         Ok(false) => EXIT_CUT_SHORT,
         Err(error) => {
@@ -153,17 +155,19 @@
 }
 
 /// Runs a daemon to its end; false if the graceful stop was cut short.
-fn serve<R: Role>(
+fn serve<R: Role + Send + Sync + 'static>(
+    path: &Path,
     settings: Settings<R>,
-    run: impl AsyncFnOnce(Settings<R>, log::Events, Stop) -> eyre::Result<()>,
+    run: impl AsyncFnOnce(Settings<R>, log::Events, reload::Control, Stop) -> eyre::Result<()>,
 ) -> eyre::Result<bool> {
     let events = log::Events::open(R::SECTION, &settings.common);
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let graceful = runtime.block_on(async {
         let (stop, cut_short) = Stop::spawn()?;
+        let control = reload::spawn(path, &settings, events.clone())?;
         tokio::select! {
-            result = run(settings, events, stop) => result.map(|()| true),
+            result = run(settings, events, control, stop) => result.map(|()| true),
             () = cut_short => Ok(false),
         }
     });
--- a/crates/hyssopdyked/src/control/api.rs
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -13,7 +13,6 @@
 use hyssopdyke_wire::ledger::{Voter, Write, command};
 use hyssopdyke_wire::resource::{Kind, Listing, Page, Resource, Status, resource};
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 
 use super::handle::Handle;
 use super::leases::Leases;
@@ -63,13 +62,9 @@
     voters: Vec<Member>,
 }
 
-/// Serves operators.
-pub(super) async fn serve(
-    listener: TcpListener,
-    handle: Handle,
-    leases: Arc<Leases>,
-) -> std::io::Result<()> {
-    let router = Router::new()
+/// The operators' calls.
+pub(super) fn router(handle: Handle, leases: Arc<Leases>) -> Router {
+    Router::new()
         .route("/v1/status", get(status))
         .route("/v1/watch", get(watch))
         .route("/v1/members", get(members).post(admit))
@@ -77,8 +72,7 @@
         .route("/v1/{kind}", get(list))
         .route("/v1/{kind}/{name}", get(read).put(write).delete(delete))
         .layer(DefaultBodyLimit::max(BODY_BYTES))
-        .with_state(Api { handle, leases });
-    axum::serve(listener, router).await
+        .with_state(Api { handle, leases })
 }
 
 async fn status(State(api): State<Api>) -> Result<Json<Status>, Problem> {
@@ -126,7 +120,9 @@
             }
             (Kind::Domain, Some(resource::Body::Domain(_)))
             | (Kind::Upstream, Some(resource::Body::Upstream(_))) => {}
-            (Kind::Entry, _) => return Err(Fault::ReadOnly("entry").into()),
+            (Kind::Entry | Kind::Route | Kind::Declaration, _) => {
+                return Err(Fault::ReadOnly(kind_name(kind)).into());
+            }
             _ => return Err(Fault::Kind(kind_name(kind)).into()),
         }
     }
@@ -139,8 +135,8 @@
     headers: HeaderMap,
 ) -> Result<Response, Problem> {
     let kind = parse_kind(&kind)?;
-    if kind == Kind::Entry {
-        return Err(Fault::ReadOnly("entry").into());
+    if matches!(kind, Kind::Entry | Kind::Route | Kind::Declaration) {
+        return Err(Fault::ReadOnly(kind_name(kind)).into());
     }
     let body = Some(resource::Body::Deleted(kind as i32));
     let resource = Resource { name: name.into(), body, ..Resource::default() };
@@ -156,7 +152,7 @@
     match api.handle.propose(command::Body::Write(write)).await? {
         Outcome::Written(resource) => Ok(tagged(StatusCode::OK, resource)),
         Outcome::Conflict(current) => Err(Problem::Conflict(current.map(Box::new))),
-        Outcome::Missing | Outcome::Recorded => Err(Problem::NotFound),
+        Outcome::Missing | Outcome::Declared(_) | Outcome::Recorded => Err(Problem::NotFound),
     }
 }
 
@@ -266,6 +262,8 @@
         "domains" => Kind::Domain,
         "upstreams" => Kind::Upstream,
         "entries" => Kind::Entry,
+        "routes" => Kind::Route,
+        "declarations" => Kind::Declaration,
         _ => return Err(Problem::UnknownKind(text.into())),
     })
 }
@@ -276,6 +274,8 @@
         Kind::Domain => "domain",
         Kind::Upstream => "upstream",
         Kind::Entry => "entry",
+        Kind::Route => "route",
+        Kind::Declaration => "declaration",
         Kind::Unspecified => "unspecified",
     }
 }
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod handle;
 mod identity;
 mod leases;
+mod operator;
 mod problem;
 mod replica;
 mod sessions;
@@ -20,6 +21,7 @@
 
 use eyre::{Result, WrapErr};
 use hyssopdyke::process::{Folder, Journal};
+use hyssopdyke_platform::orders;
 use hyssopdyke_wire::ledger::{Configuration, Snapshot, Voter};
 use hyssopdyke_wire::{Key, Purpose};
 use slog::{info, warn};
@@ -27,14 +29,21 @@
 
 use crate::log::Events;
 use crate::metrics::Metrics;
-use crate::settings::{Control, Settings};
+use crate::reload;
+use crate::settings::{self, Control, Settings, Vm};
 use crate::stop::Stop;
 use consensus::Consensus;
 use identity::Identity;
 use leases::Leases;
+use operator::Orders;
 
 /// Runs a control VM until it is asked to stop.
-pub(crate) async fn run(settings: Settings<Control>, events: Events, mut stop: Stop) -> Result<()> {
+pub(crate) async fn run(
+    settings: Settings<Control>,
+    events: Events,
+    _seeds: reload::Control,
+    mut stop: Stop,
+) -> Result<()> {
     let Settings { common, role } = settings;
     let key = Key::derive(&common.cluster.passphrase, Purpose::Session);
     let folder = Folder::open(&role.data)
@@ -44,10 +53,13 @@
         TcpListener::bind(address).await.wrap_err_with(|| format!("[control] {name}: {address}"))
     };
     let sessions = bind("session_port", role.session_port).await?;
-    let api = bind("api_port", role.api_port).await?;
+    let api = TcpListener::bind(role.api)
+        .await
+        .wrap_err_with(|| format!("[control] api: {}", role.api))?;
     let replicas = bind("replica_port", role.replica_port).await?;
 
-    let (journal, identity) = open(folder, &role, &common.vm.name, replicas.local_addr()?)?;
+    let (journal, identity) =
+        open(folder, &role, &voter_name(&role, &common.vm), replicas.local_addr()?)?;
     if journal.cut_bytes() > 0 {
         warn!(events.logger(), "unsynced end of the log cut off"; "bytes" => journal.cut_bytes());
     }
@@ -56,17 +68,23 @@
         "entries" => journal.last_index());
 
     let metrics = Metrics::open("control", &common)?;
-    let (name, address) = (common.vm.name.clone(), replicas.local_addr()?);
+    let address = replicas.local_addr()?;
+    let name = voter_name(&role, &common.vm);
     let outgoing = replica::Outgoing::new(key.clone());
     let (handle, consensus) =
         Consensus::open(name, identity, address, journal, outgoing, metrics, events.clone());
     let leases = Arc::new(Leases::new(role.lease));
+    let mut router = api::router(handle.clone(), Arc::clone(&leases));
+    if role.platform {
+        let operator = Orders::new(handle.clone(), api.local_addr()?.port());
+        router = router.merge(orders::router(operator));
+    }
     tokio::select! {
         result = consensus.run() => result.wrap_err("the log failed")?,
         result = replica::serve(replicas, key.clone(), handle.clone()) => result?,
         result = sessions::serve(sessions, key, handle.clone(), Arc::clone(&leases), events.clone())
             => result?,
-        result = api::serve(api, handle.clone(), Arc::clone(&leases)) => result?,
+        result = axum::serve(api, router) => result?,
         () = leases::expire(handle, leases, events.clone()) => {}
         () = stop.asked() => {}
     }
@@ -84,10 +102,13 @@
     name: &str,
     address: SocketAddr,
 ) -> Result<(Journal<Folder>, u64)> {
-    let identity = Identity::open(&mut folder, settings.form, name)?;
+    let is_seed =
+        settings.seeds.is_empty() || settings.seeds.iter().any(|seed| seed.ip() == address.ip());
+    let forms = settings.form && is_seed;
+    let identity = Identity::open(&mut folder, forms, name)?;
     let mut journal = Journal::open(folder)?;
     let is_new = journal.last_index() == 0 && journal.snapshot().configuration.is_none();
-    if settings.form && is_new {
+    if forms && is_new {
         let configuration = first_configuration(settings, name, address);
         let snapshot = Snapshot { configuration: Some(configuration), ..Snapshot::default() };
         journal.store_snapshot(snapshot)?;
@@ -95,10 +116,21 @@
     Ok((journal, identity))
 }
 
+/// Name under which a control VM votes: where seeds form the system, these are all that the
+/// others know of it.
+fn voter_name(settings: &Control, vm: &Vm) -> Box<str> {
+    if settings.seeds.is_empty() { vm.name.clone() } else { vm.address.to_string().into() }
+}
+
 fn first_configuration(settings: &Control, name: &str, address: SocketAddr) -> Configuration {
     let own =
         Voter { name: name.into(), identity: identity::first(name), address: address.to_string() };
-    let others = settings.voters.iter().filter(|voter| *voter.name != *name);
+    let seeds = settings.seeds.iter().map(|seed| settings::Voter {
+        name: seed.ip().to_string().into(),
+        address: SocketAddr::new(seed.ip(), settings.replica_port),
+    });
+    let others = settings.voters.iter().cloned().chain(seeds);
+    let others = others.filter(|voter| *voter.name != *name);
     let mut voters: Vec<Voter> = others
         .map(|voter| Voter {
             name: voter.name.to_string(),
--- /dev/null
+++ b/crates/hyssopdyked/src/control/operator.rs
@@ -0,0 +1,79 @@
+//! Orders of the platform's operators.
+
+use bytes::Bytes;
+use hyssopdyke::version::Outcome;
+use hyssopdyke_platform::orders::{Operator, Refusal};
+use hyssopdyke_wire::ledger::{Declare, Write, command};
+use hyssopdyke_wire::resource::{Domain, Kind, Resource, resource::Body};
+use std::net::SocketAddr;
+
+use super::handle::{Error, Handle};
+use super::validate;
+
+/// Carries out orders by the log, where this VM leads.
+#[derive(Clone)]
+pub(super) struct Orders {
+    handle: Handle,
+    /// Port at which every control VM takes orders.
+    port: u16,
+}
+
+impl Orders {
+    pub(super) const fn new(handle: Handle, port: u16) -> Self {
+        Self { handle, port }
+    }
+
+    async fn propose(&self, body: command::Body) -> Result<Outcome, Refusal> {
+        match self.handle.propose(body).await {
+            Ok(outcome) => Ok(outcome),
+            Err(error) => Err(self.refusal(&error).await),
+        }
+    }
+
+    /// Names the leader, where one is known.
+    async fn refusal(&self, error: &Error) -> Refusal {
+        if let Error::NotLeader(Some(leader)) = error {
+            let registry = self.handle.registry().await;
+            let voters = &registry.configuration().voters;
+            let voter = voters.iter().find(|voter| voter.name == **leader);
+            let address = voter.and_then(|voter| voter.address.parse::<SocketAddr>().ok());
+            if let Some(address) = address {
+                return Refusal::Elsewhere(SocketAddr::new(address.ip(), self.port));
+            }
+        }
+        Refusal::Unsure(error.to_string().into())
+    }
+}
+
+impl Operator for Orders {
+    async fn declare(&self, declare: Declare) -> Result<(), Refusal> {
+        self.propose(command::Body::Declare(declare)).await.map(|_| ())
+    }
+
+    async fn declaration(&self) -> Result<Option<Bytes>, Refusal> {
+        if let Err(error) = self.handle.confirm().await {
+            return Err(self.refusal(&error).await);
+        }
+        let registry = self.handle.registry().await;
+        Ok(registry.declaration().map(|(_, document)| document.clone()))
+    }
+
+    async fn set_out(&self, domain: &str, out: bool) -> Result<(), Refusal> {
+        validate::name(domain).map_err(|fault| Refusal::Invalid(fault.to_string().into()))?;
+        if self.handle.confirm().await.is_ok() && self.is_out(domain).await == out {
+            return Ok(());
+        }
+        let body = Some(Body::Domain(Domain { out }));
+        let resource = Resource { name: domain.to_owned(), body, ..Resource::default() };
+        let write = Write { resource: Some(resource), ..Write::default() };
+        self.propose(command::Body::Write(write)).await.map(|_| ())
+    }
+}
+
+impl Orders {
+    async fn is_out(&self, domain: &str) -> bool {
+        let registry = self.handle.registry().await;
+        let held = registry.store().get(Kind::Domain, domain);
+        matches!(held.and_then(|held| held.body.as_ref()), Some(Body::Domain(held)) if held.out)
+    }
+}
--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -184,7 +184,12 @@
     let key = (daemon.kind, daemon.resource.name.as_str().into());
     leases.renew(key, daemon.boot, renew.revision, renew.usage.unwrap_or_default());
     let lease_ms = leases.length().as_millis() as u32;
-    let granted = Granted { sequence: renew.sequence, lease_ms };
+    let granted = Granted {
+        sequence: renew.sequence,
+        lease_ms,
+        revision: handle.registry().await.store().revision(),
+        control: control_addresses(handle, stream).await,
+    };
     send(stream, frame::Body::Granted(granted)).await
 }
 
@@ -213,10 +218,30 @@
 
 async fn refuse(stream: &mut Stream, handle: &Handle, error: &LogError) -> Result<(), End> {
     let leader = handle.leadership.borrow().leader.clone().unwrap_or_default();
-    let refused = Refused { reason: error.to_string(), leader: leader.into() };
+    let control = control_addresses(handle, stream).await;
+    let refused = Refused { reason: error.to_string(), leader: leader.into(), control };
     send(stream, frame::Body::Refused(refused)).await
 }
 
+/// Where the control VMs take sessions, the leader first.
+///
+/// All control VMs take sessions at the same port.
+async fn control_addresses(handle: &Handle, stream: &Stream) -> Vec<String> {
+    let Ok(own) = stream.get_ref().local_addr() else { return Vec::new() };
+    let leader = handle.leadership.borrow().leader.clone();
+    let registry = handle.registry().await;
+    let voters = registry.configuration().voters.iter();
+    let mut voters: Vec<(bool, SocketAddr)> = voters
+        .filter_map(|voter| {
+            let address: SocketAddr = voter.address.parse().ok()?;
+            let is_leader = leader.as_deref() == Some(voter.name.as_str());
+            Some((!is_leader, SocketAddr::new(address.ip(), own.port())))
+        })
+        .collect();
+    voters.sort_unstable();
+    voters.into_iter().map(|(_, address)| address.to_string()).collect()
+}
+
 async fn send(stream: &mut Stream, body: frame::Body) -> Result<(), End> {
     let sending = stream.send(Frame { body: Some(body) });
     timeout(PATIENCE, sending).await.map_err(|_| End::Silent)??;
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -6,9 +6,10 @@
 mod worker;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use eyre::{Result, WrapErr};
+use hyssopdyke::request::{Border, Tunneled};
+use hyssopdyke_platform::{Head, readiness};
 use hyssopdyke_wire::resource;
 use hyssopdyke_wire::session::hello;
 use hyssopdyke_wire::{Key, Purpose};
@@ -17,20 +18,39 @@
 
 use crate::log::Events;
 use crate::metrics::Metrics;
-use crate::node::{Announcement, Link, Membership, Session, Tunnel};
-use crate::settings::{Entry, Settings};
+use crate::node::{Announcement, Link, Membership, Server, Session, Tunnel};
+use crate::reload::Control;
+use crate::settings::{Entry, PacketForm, Settings};
 use crate::stop::Stop;
 use worker::Worker;
 
-/// Time in which the fabric's last packets are forwarded after the lease was given back.
-const GRACE: Duration = Duration::from_millis(500);
-
 /// Runs an entry until it is asked to stop.
-pub(crate) async fn run(settings: Settings<Entry>, events: Events, mut stop: Stop) -> Result<()> {
+pub(crate) async fn run(
+    settings: Settings<Entry>,
+    events: Events,
+    control: Control,
+    stop: Stop,
+) -> Result<()> {
+    let fabric = settings.role.fabric;
+    match settings.role.packets {
+        PacketForm::Tunneled => serve(Tunneled { fabric }, settings, events, control, stop).await,
+        PacketForm::Platform => {
+            serve(Head { caller_port: fabric.port() }, settings, events, control, stop).await
+        }
+    }
+}
+
+async fn serve(
+    border: impl Border,
+    settings: Settings<Entry>,
+    events: Events,
+    control: Control,
+    mut stop: Stop,
+) -> Result<()> {
     let Settings { common, role } = settings;
     let key = Key::derive(&common.cluster.passphrase, Purpose::Datagram);
-    let fabric = SocketAddr::new(common.vm.address, role.fabric_port);
-    let fabric = Tunnel::bind(fabric).wrap_err_with(|| format!("[entry] fabric_port: {fabric}"))?;
+    let fabric =
+        Tunnel::bind(role.fabric).wrap_err_with(|| format!("[entry] fabric: {}", role.fabric))?;
     let peers = SocketAddr::new(common.vm.address, role.peer_port);
     let link = Link::bind(peers, key).wrap_err_with(|| format!("[entry] peer_port: {peers}"))?;
     let boot = rand::random();
@@ -45,22 +65,29 @@
     };
     info!(events.logger(), "entry started";
         "fabric" => %fabric.local_addr()?, "peers" => %link.local_addr()?);
-    let session = Session::spawn(&common.cluster, announcement, events.clone());
+    let session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("entry", &common)?;
     let mut worker =
-        Worker::new(fabric, link, membership, metrics, role.cached_flows, events.clone())?;
+        Worker::new(border, fabric, link, membership, metrics, role.cached_flows, events.clone())?;
+    let _readiness = match role.readiness {
+        Some(address) => {
+            let router = readiness::router(worker.ready());
+            Some(Server::bind("[entry] readiness", address, router).await?)
+        }
+        None => None,
+    };
     let mut session = session;
     tokio::select! {
         result = worker.run(&mut session) => return result,
         () = stop.asked() => {}
     }
     info!(events.logger(), "entry leaves");
-    session.leave().await;
     tokio::select! {
-        result = worker.finish() => return result,
-        () = sleep(GRACE) => {}
+        result = worker.finish(&mut session) => result?,
+        () = sleep(role.grace) => {}
     }
+    session.leave().await;
     info!(events.logger(), "entry stopped");
     Ok(())
 }
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Cache, Flow};
-use hyssopdyke::request::Packet;
-use hyssopdyke::version::{Member, Pool, Service};
-use hyssopdyke_wire::datagram::{Datagram, Forward, Owner, Pong, datagram::Body};
+use hyssopdyke::request::Border;
+use hyssopdyke::version::{Member, Pool, Route};
+use hyssopdyke_wire::datagram::{Datagram, Forward, Owner, datagram::Body};
 use hyssopdyke_wire::resource::Usage;
 use slog::warn;
-use tokio::time::interval;
+use tokio::sync::watch;
+use tokio::time::{Interval, interval, sleep_until};
 
 use crate::log::Events;
 use crate::metrics::Metrics;
@@ -28,8 +29,13 @@
 /// Time between two flushes of the metrics, and two questions to peers.
 const TICK: Duration = Duration::from_secs(1);
 
+/// Time without packets after which the fabric is taken to send no more: longer than callers'
+/// first repetitions, shorter than the grace time of a stop.
+const QUIET: Duration = Duration::from_secs(1);
+
 /// The entry's sockets and what it remembers.
-pub(super) struct Worker {
+pub(super) struct Worker<B> {
+    border: B,
     fabric: Tunnel,
     link: Link,
     membership: Membership,
@@ -38,10 +44,17 @@
     keys: (u64, u64),
     address: SocketAddr,
     events: Events,
+    /// Whether the fabric shall send packets here.
+    ready: watch::Sender<bool>,
+    /// The process is about to stop.
+    is_leaving: bool,
+    /// When the fabric last sent a packet.
+    forwarded: Option<Instant>,
 }
 
-impl Worker {
+impl<B: Border> Worker<B> {
     pub(super) fn new(
+        border: B,
         fabric: Tunnel,
         link: Link,
         membership: Membership,
@@ -52,28 +65,68 @@
         let address = link.local_addr()?;
         let cache = Cache::new(cached_flows);
         let keys = link.flow_keys();
-        Ok(Self { fabric, link, membership, metrics, cache, keys, address, events })
+        Ok(Self {
+            border,
+            fabric,
+            link,
+            membership,
+            metrics,
+            cache,
+            keys,
+            address,
+            events,
+            ready: watch::Sender::new(false),
+            is_leaving: false,
+            forwarded: None,
+        })
+    }
+
+    /// Tells whether the fabric shall send packets here.
+    pub(super) fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
+    /// Sets whether the fabric shall send packets here.
+    fn publish_ready(&self) {
+        let is_ready = !self.is_leaving && self.membership.may_act(Instant::now());
+        self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
     }
 
     /// Forwards packets until a socket fails.
     pub(super) async fn run(&mut self, session: &mut Session) -> Result<()> {
         let mut ticks = interval(TICK);
         loop {
-            tokio::select! {
-                ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
-                ready = self.link.readable() => { ready?; self.receive_batch()?; }
-                Some(update) = session.update() => { self.membership.update(update, session); }
-                _ = ticks.tick() => self.tick(),
+            self.serve_next(session, &mut ticks).await?;
+        }
+    }
+
+    async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
+        tokio::select! {
+            ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
+            ready = self.link.readable() => { ready?; self.receive_batch()?; }
+            Some(update) = session.update() => {
+                self.membership.update(update, session);
+                self.publish_ready();
             }
-            session.report(self.membership.revision(), Usage::default());
+            _ = ticks.tick() => self.tick(),
         }
+        session.report(self.membership.revision(), Usage::default());
+        Ok(())
     }
 
-    /// Forwards packets without a session, for the time of a graceful stop.
-    pub(super) async fn finish(&mut self) -> Result<()> {
+    /// Forwards on until the fabric sends no more packets, for a graceful stop.
+    pub(super) async fn finish(&mut self, session: &mut Session) -> Result<()> {
+        self.is_leaving = true;
+        self.publish_ready();
+        let start = Instant::now();
+        let mut ticks = interval(TICK);
         loop {
-            self.fabric.readable().await?;
-            self.forward_batch()?;
+            let quiet_since = self.forwarded.map_or(start, |last| last.max(start));
+            let quiet = tokio::time::Instant::from_std(quiet_since + QUIET);
+            tokio::select! {
+                served = self.serve_next(session, &mut ticks) => served?,
+                () = sleep_until(quiet) => return Ok(()),
+            }
         }
     }
 
@@ -84,7 +137,9 @@
             };
             // The lease is looked at for each packet: the process may have been frozen between
             // two of them.
-            if self.membership.may_act(Instant::now()) {
+            let now = Instant::now();
+            self.forwarded = Some(now);
+            if self.membership.may_act(now) {
                 self.forward(packet);
             } else {
                 self.metrics.count("dropped.inactive");
@@ -94,15 +149,15 @@
     }
 
     fn forward(&mut self, bytes: Bytes) {
-        let Ok(packet) = Packet::parse(&bytes) else {
+        let Ok(packet) = self.border.parse(&bytes) else {
             return self.metrics.count("dropped.malformed");
         };
         let flow = packet.inbound();
         let view = Arc::clone(self.membership.view());
-        let Some(service) = view.service(flow.service, flow.protocol) else {
+        let Some(route) = view.route(flow.service, flow.protocol) else {
             return self.metrics.count("dropped.unknown_service");
         };
-        let Some(target) = self.target(service, &flow) else {
+        let Some(target) = self.target(route, &flow) else {
             return self.metrics.count("dropped.no_member");
         };
         let (entry_address, entry_port) = encode_address(self.address);
@@ -114,8 +169,8 @@
         }
     }
 
-    fn target<'a>(&mut self, service: &'a Service, flow: &Flow) -> Option<&'a Member> {
-        let pool: &Pool = &service.pool;
+    fn target<'a>(&mut self, route: &'a Route, flow: &Flow) -> Option<&'a Member> {
+        let pool: &Pool = &route.pool;
         let hash = flow.hash(self.keys);
         let owner = self.cache.owner(hash).and_then(|vm| pool.member(vm));
         owner.or_else(|| pool.home(hash))
@@ -144,7 +199,8 @@
                 self.membership.receive(&mut self.link, from, page);
             }
             Some(Body::Ping(ping)) => {
-                let answer = self.membership.message(Body::Pong(Pong { nonce: ping.nonce }));
+                let pong = self.membership.pong(ping, Instant::now());
+                let answer = self.membership.message(Body::Pong(pong));
                 self.link.send(&answer, from);
             }
             Some(Body::Pong(pong)) => self.membership.vouch(from, revision, pong),
@@ -164,6 +220,7 @@
     }
 
     fn tick(&mut self) {
+        self.publish_ready();
         self.membership.ask_peers(&mut self.link, Instant::now());
         self.metrics.gauge("cached_flows", self.cache.len() as u64);
         self.metrics.gauge("revision", self.membership.revision());
--- a/crates/hyssopdyked/src/main.rs
+++ b/crates/hyssopdyked/src/main.rs
@@ -7,6 +7,7 @@
 mod log;
 mod metrics;
 mod node;
+mod reload;
 mod settings;
 mod stop;
 
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -75,7 +75,9 @@
         let mut is_newer = false;
         while let Some(update) = next {
             match update {
-                Update::Granted { sent, length } => self.lease.grant(sent, length),
+                Update::Granted { sent, length, revision } => {
+                    self.lease.grant(sent, length, revision);
+                }
                 Update::Page(page) => is_newer |= self.take_in(page),
             }
             next = session.try_update();
@@ -83,6 +85,7 @@
         if is_newer {
             self.renew_view();
         }
+        self.lease.catch_up(self.revision());
         is_newer
     }
 
@@ -136,11 +139,19 @@
         Ping { nonce: self.nonce, load }
     }
 
+    /// The answer to a peer's ping.
+    ///
+    /// Only a process that may act itself vouches for others: two that were frozen must not
+    /// bring each other back by an old revision.
+    pub(crate) fn pong(&self, ping: Ping, now: Instant) -> Pong {
+        Pong { nonce: ping.nonce, active: self.may_act(now) }
+    }
+
     /// Takes in a peer's answer to a ping, sent at `revision`.
     pub(crate) fn vouch(&mut self, from: SocketAddr, revision: u64, pong: Pong) {
         let is_outside = self.view.domain_of(from).is_some_and(|domain| *domain != *self.domain);
         // A peer that is ahead may know that this domain was taken out.
-        if is_outside && revision <= self.revision() {
+        if is_outside && pong.active && revision <= self.revision() {
             self.lease.answer(pong.nonce);
         }
     }
@@ -165,6 +176,7 @@
 
     fn renew_view(&mut self) {
         self.view = Arc::new(View::new(self.replica.store()));
+        self.lease.catch_up(self.revision());
         self.events.set_revision(self.revision());
         info!(self.events.logger(), "revision in use");
     }
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -16,13 +16,14 @@
 use tokio_util::codec::Framed;
 
 use crate::log::Events;
+use crate::reload::Control;
 use crate::settings::Cluster;
 
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(1);
 
 /// Time for connecting, and for the answer to a renewal.
-const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_millis(1500);
 
 /// Pause before the next control VM is tried.
 const RETRY: Duration = Duration::from_millis(200);
@@ -34,7 +35,12 @@
 #[derive(Debug)]
 pub(crate) enum Update {
     /// The renewal that was sent at `sent` was granted.
-    Granted { sent: Instant, length: Duration },
+    Granted {
+        sent: Instant,
+        length: Duration,
+        /// Revision that control held.
+        revision: u64,
+    },
     /// A part of the state.
     Page(Page),
 }
@@ -63,13 +69,19 @@
 
 impl Session {
     /// Starts a session.
-    pub(crate) fn spawn(cluster: &Cluster, announcement: Announcement, events: Events) -> Self {
+    pub(crate) fn spawn(
+        cluster: &Cluster,
+        control: Control,
+        announcement: Announcement,
+        events: Events,
+    ) -> Self {
         let (sender, updates) = mpsc::channel(QUEUE);
         let (report, reports) = watch::channel(Report::default());
         let (stop, stopped) = watch::channel(false);
         let client = Client {
             key: Key::derive(&cluster.passphrase, Purpose::Session),
-            control: cluster.control.clone(),
+            control,
+            learned: Vec::new(),
             announcement,
             updates: sender,
             reports,
@@ -108,7 +120,10 @@
 
 struct Client {
     key: Key,
-    control: Vec<SocketAddr>,
+    /// Control VMs of the settings.
+    control: Control,
+    /// Control VMs that control has named, the leader first.
+    learned: Vec<SocketAddr>,
     announcement: Announcement,
     updates: mpsc::Sender<Update>,
     reports: watch::Receiver<Report>,
@@ -140,9 +155,11 @@
     async fn run(mut self) {
         let mut index = 0;
         loop {
-            let Some(address) = self.control.get(index % self.control.len().max(1)).copied() else {
+            let candidates = self.candidates();
+            let Some(address) = candidates.get(index % candidates.len().max(1)).copied() else {
                 return;
             };
+            let leader = self.learned.first().copied();
             match self.hold(address).await {
                 End::Stopped => return,
                 end @ (End::Unreachable | End::Connect(_) | End::Refused(_)) => {
@@ -154,7 +171,9 @@
                         "control" => %address, "reason" => %end);
                 }
             }
-            index += 1;
+            let is_led_anew = self.learned.first().is_some_and(|first| *first != address);
+            index =
+                if is_led_anew && self.learned.first() != leader.as_ref() { 0 } else { index + 1 };
             tokio::select! {
                 () = sleep(RETRY) => {}
                 () = is_set(&mut self.stopped) => return,
@@ -162,6 +181,23 @@
         }
     }
 
+    /// Control VMs to try, the leader that was named last first.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let mut candidates = self.learned.clone();
+        let settings = self.control.borrow();
+        candidates.extend(settings.iter().filter(|address| !self.learned.contains(address)));
+        candidates
+    }
+
+    /// Takes in the control VMs that control names.
+    fn learn(&mut self, control: &[String]) {
+        let learned: Vec<SocketAddr> =
+            control.iter().filter_map(|address| address.parse().ok()).collect();
+        if !learned.is_empty() {
+            self.learned = learned;
+        }
+    }
+
     /// Holds a session with one control VM until it ends.
     async fn hold(&mut self, address: SocketAddr) -> End {
         match self.connect(address).await {
@@ -185,7 +221,7 @@
     }
 
     async fn exchange(
-        &self,
+        &mut self,
         stream: &mut Framed<TcpStream, Codec<Frame>>,
         address: SocketAddr,
     ) -> Result<End, End> {
@@ -219,16 +255,20 @@
                             if granted.sequence == 1 {
                                 info!(self.events.logger(), "lease granted"; "control" => %address);
                             }
+                            self.learn(&granted.control);
                             let length = Duration::from_millis(granted.lease_ms.into());
                             while let Some((number, sent)) = open.pop_front() {
                                 if number >= granted.sequence {
-                                    self.update(Update::Granted { sent, length }).await?;
+                                    let revision = granted.revision;
+                                    let update = Update::Granted { sent, length, revision };
+                                    self.update(update).await?;
                                     break;
                                 }
                             }
                         }
                         Some(frame::Body::Page(page)) => self.update(Update::Page(page)).await?,
                         Some(frame::Body::Refused(refused)) => {
+                            self.learn(&refused.control);
                             return Err(End::Refused(refused.reason.into()));
                         }
                         _ => {}
--- a/crates/hyssopdyked/src/settings/agent.rs
+++ b/crates/hyssopdyked/src/settings/agent.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::fault::Cause;
-use super::{Role, Section, Vm};
+use super::{PacketForm, Role, Section, Vm};
 
 const SECOND: Duration = Duration::from_secs(1);
 const HOUR: Duration = Duration::from_hours(1);
@@ -17,12 +17,22 @@
     pub(crate) service: Box<str>,
     /// Takes datagrams of other daemons.
     pub(crate) peer_port: u16,
-    /// Takes IP packets in UDP from the upstream.
-    pub(crate) answer_port: u16,
-    /// Where the upstream's VM takes IP packets in UDP.
+    /// Form of the upstream's and the fabric's packets.
+    pub(crate) packets: PacketForm,
+    /// Takes packets from the upstream.
+    pub(crate) answers: SocketAddr,
+    /// Where the upstream's VM takes packets.
     pub(crate) upstream: SocketAddr,
-    /// Where the fabric takes answers as IP packets in UDP.
+    /// Where the fabric takes answers; of the platform's form only the port counts.
     pub(crate) fabric: SocketAddr,
+    /// Takes the question whether this agent is ready.
+    pub(crate) readiness: Option<SocketAddr>,
+    /// Takes the upstream's reports of itself; without it the upstream counts as serving.
+    pub(crate) reports: Option<SocketAddr>,
+    /// Time between two reports of the upstream.
+    pub(crate) heartbeat: Duration,
+    /// Time after which the upstream gets no more packets once its failure domain was taken out.
+    pub(crate) out_within: Duration,
     /// Silence of one end after which a TCP flow is probed.
     pub(crate) probe_after: Duration,
     /// Silence after which a UDP flow has ended.
@@ -38,31 +48,44 @@
         let answer_port = section.number("answer_port", 5557, (0, u16::MAX));
         let upstream = section.value("upstream", "a socket address");
         let fabric = section.value("fabric", "a socket address");
+        let out_within = section.time("out_within", 5 * SECOND, (SECOND, HOUR));
         let probe_after = section.time("probe_after", 30 * SECOND, (SECOND, HOUR));
         let datagram_idle = section.time("datagram_idle", 120 * SECOND, (SECOND, 24 * HOUR));
         if answer_port == peer_port && peer_port.is_some_and(|port| port != 0) {
             let value = peer_port.unwrap_or_default().to_string().into();
             section.fault("answer_port", Cause::Clash { value, other: "peer_port" });
         }
+        let packets = section.optional("packets", "one of tunneled, platform")?;
+        let answers = section.optional("answers", "a socket address")?;
+        let readiness = section.optional("readiness", "a socket address")?;
+        let reports = section.optional("reports", "a socket address")?;
+        let heartbeat = section.time("heartbeat", SECOND, (SECOND / 100, HOUR));
+        let address = vm?.address;
+        let answers_key = if answers.is_some() { "answers" } else { "answer_port" };
         let agent = Self {
             service: service?,
             peer_port: peer_port?,
-            answer_port: answer_port?,
+            packets: packets.unwrap_or(PacketForm::Tunneled),
+            answers: answers.unwrap_or(SocketAddr::new(address, answer_port?)),
+            readiness,
+            reports,
+            heartbeat: heartbeat?,
             upstream: upstream?,
             fabric: fabric?,
+            out_within: out_within?,
             probe_after: probe_after?,
             datagram_idle: datagram_idle?,
         };
-        agent.check_clashes(section, vm?);
+        agent.check_clashes(section, vm?, answers_key);
         Some(agent)
     }
 }
 
 impl Agent {
-    fn check_clashes(&self, section: &mut Section<'_>, vm: &Vm) {
-        let own = [("peer_port", self.peer_port), ("answer_port", self.answer_port)];
-        for (key, port) in own {
-            if self.upstream == SocketAddr::new(vm.address, port) {
+    fn check_clashes(&self, section: &mut Section<'_>, vm: &Vm, answers_key: &'static str) {
+        let peers = SocketAddr::new(vm.address, self.peer_port);
+        for (key, own) in [("peer_port", peers), (answers_key, self.answers)] {
+            if self.upstream == own {
                 let value = self.upstream.to_string().into();
                 section.fault("upstream", Cause::Clash { value, other: key });
             }
@@ -79,9 +102,18 @@
         writeln!(formatter, "[agent]")?;
         writeln!(formatter, "service = {}", self.service)?;
         writeln!(formatter, "peer_port = {}", self.peer_port)?;
-        writeln!(formatter, "answer_port = {}", self.answer_port)?;
+        writeln!(formatter, "packets = {}", self.packets)?;
+        writeln!(formatter, "answers = {}", self.answers)?;
         writeln!(formatter, "upstream = {}", self.upstream)?;
         writeln!(formatter, "fabric = {}", self.fabric)?;
+        if let Some(readiness) = self.readiness {
+            writeln!(formatter, "readiness = {readiness}")?;
+        }
+        if let Some(reports) = self.reports {
+            writeln!(formatter, "reports = {reports}")?;
+        }
+        writeln!(formatter, "heartbeat = {}", humantime::format_duration(self.heartbeat))?;
+        writeln!(formatter, "out_within = {}", humantime::format_duration(self.out_within))?;
         let probe_after = humantime::format_duration(self.probe_after);
         writeln!(formatter, "probe_after = {probe_after}")?;
         let datagram_idle = humantime::format_duration(self.datagram_idle);
--- a/crates/hyssopdyked/src/settings/cluster.rs
+++ b/crates/hyssopdyked/src/settings/cluster.rs
@@ -13,13 +13,19 @@
 #[derive(Clone)]
 pub(crate) struct Cluster {
     pub(crate) passphrase: Box<str>,
+    /// Where control VMs take sessions.
     pub(crate) control: Vec<SocketAddr>,
 }
 
 impl Cluster {
     pub(super) fn read(section: &mut Section<'_>, role: &str) -> Option<Self> {
         let passphrase = section.text("passphrase");
-        let control = section.list("control", "a list of socket addresses");
+        let mut control: Option<Vec<SocketAddr>> =
+            section.list("control", "a list of socket addresses");
+        // The addresses may be those of another port of the same VMs.
+        if let Some(port) = section.optional("session_port", "a port")? {
+            control.iter_mut().flatten().for_each(|address| address.set_port(port));
+        }
         if role != Control::SECTION && control.as_ref().is_some_and(Vec::is_empty) {
             section.fault("control", Cause::Missing);
         }
--- a/crates/hyssopdyked/src/settings/control.rs
+++ b/crates/hyssopdyked/src/settings/control.rs
@@ -16,11 +16,18 @@
     /// Takes sessions of daemons.
     pub(crate) session_port: u16,
     /// Takes operators' HTTP requests.
-    pub(crate) api_port: u16,
+    pub(crate) api: SocketAddr,
+    /// The platform's calls are served beside the product's own.
+    pub(crate) platform: bool,
     /// Takes messages of other control VMs.
     pub(crate) replica_port: u16,
     /// Other control VMs that vote when the system is first started, as `name@address:port`.
     pub(crate) voters: Vec<Voter>,
+    /// Addresses of the control VMs that form a new system, in place of `voters`. A control VM is
+    /// then known by its address.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Control VMs that may be lost at a time.
+    pub(crate) tolerance: usize,
     /// Length of a daemon's lease.
     pub(crate) lease: Duration,
     /// Forms a new system with `voters` if the data folder is empty. Set by the command line.
@@ -46,7 +53,7 @@
 impl Role for Control {
     const SECTION: &'static str = "control";
 
-    fn read(section: &mut Section<'_>, _: Option<&Vm>) -> Option<Self> {
+    fn read(section: &mut Section<'_>, vm: Option<&Vm>) -> Option<Self> {
         let data: Option<PathBuf> = section.value("data", "a path");
         let session_port = section.number("session_port", 5560, (0, u16::MAX));
         let api_port = section.number("api_port", 5561, (0, u16::MAX));
@@ -57,14 +64,23 @@
             Duration::from_secs(3),
             (Duration::from_millis(500), Duration::from_mins(1)),
         );
+        let api = section.optional("api", "a socket address")?;
+        let platform = section.optional("platform", "true or false")?;
+        let seeds = section.list("seeds", "a list of socket addresses");
+        let tolerance = section.number("tolerance", 1, (0, 3));
+        let form = section.optional("form", "true or false")?;
+        let address = vm?.address;
         let control = Self {
             data: data?.into(),
             session_port: session_port?,
-            api_port: api_port?,
+            api: api.unwrap_or(SocketAddr::new(address, api_port?)),
+            platform: platform.unwrap_or(false),
+            seeds: seeds?,
+            tolerance: tolerance?,
             replica_port: replica_port?,
             voters: voters?,
             lease: lease?,
-            form: false,
+            form: form.unwrap_or(false),
         };
         control.check_clashes(section);
         Some(control)
@@ -75,7 +91,7 @@
     fn check_clashes(&self, section: &mut Section<'_>) {
         let ports = [
             ("session_port", self.session_port),
-            ("api_port", self.api_port),
+            ("api_port", self.api.port()),
             ("replica_port", self.replica_port),
         ];
         for (index, (key, port)) in ports.iter().enumerate() {
@@ -92,11 +108,16 @@
         writeln!(formatter, "[control]")?;
         writeln!(formatter, "data = {}", self.data.display())?;
         writeln!(formatter, "session_port = {}", self.session_port)?;
-        writeln!(formatter, "api_port = {}", self.api_port)?;
+        writeln!(formatter, "api = {}", self.api)?;
+        writeln!(formatter, "platform = {}", self.platform)?;
         writeln!(formatter, "replica_port = {}", self.replica_port)?;
         let voters: Vec<_> =
             self.voters.iter().map(|voter| format!("{}@{}", voter.name, voter.address)).collect();
         writeln!(formatter, "voters = {}", voters.join(", "))?;
+        let seeds: Vec<_> = self.seeds.iter().map(SocketAddr::to_string).collect();
+        writeln!(formatter, "seeds = {}", seeds.join(", "))?;
+        writeln!(formatter, "tolerance = {}", self.tolerance)?;
+        writeln!(formatter, "form = {}", self.form)?;
         writeln!(formatter, "lease = {}", humantime::format_duration(self.lease))
     }
 }
--- a/crates/hyssopdyked/src/settings/entry.rs
+++ b/crates/hyssopdyked/src/settings/entry.rs
@@ -1,15 +1,23 @@
 //! Settings of an entry.
 
 use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::fault::Cause;
-use super::{Role, Section, Vm};
+use super::{PacketForm, Role, Section, Vm};
 
 /// Ports and memory of an entry.
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
-    /// Takes IP packets in UDP from the fabric.
-    pub(crate) fabric_port: u16,
+    /// Form of the fabric's packets.
+    pub(crate) packets: PacketForm,
+    /// Takes packets from the fabric.
+    pub(crate) fabric: SocketAddr,
+    /// Takes the fabric's question whether this entry shall get packets.
+    pub(crate) readiness: Option<SocketAddr>,
+    /// Time for which packets are forwarded after the request to stop.
+    pub(crate) grace: Duration,
     /// Takes datagrams of other daemons.
     pub(crate) peer_port: u16,
     /// Flows whose owner is remembered.
@@ -19,7 +27,7 @@
 impl Role for Entry {
     const SECTION: &'static str = "entry";
 
-    fn read(section: &mut Section<'_>, _: Option<&Vm>) -> Option<Self> {
+    fn read(section: &mut Section<'_>, vm: Option<&Vm>) -> Option<Self> {
         let fabric_port = section.number("fabric_port", 5555, (0, u16::MAX));
         let peer_port = section.number("peer_port", 5556, (0, u16::MAX));
         let cached_flows = section.number("cached_flows", 200_000, (1_000, 10_000_000));
@@ -27,14 +35,32 @@
             let value = peer_port.unwrap_or_default().to_string().into();
             section.fault("peer_port", Cause::Clash { value, other: "fabric_port" });
         }
-        Some(Self { fabric_port: fabric_port?, peer_port: peer_port?, cached_flows: cached_flows? })
+        let packets = section.optional("packets", "one of tunneled, platform")?;
+        let fabric = section.optional("fabric", "a socket address")?;
+        let (least, most) = (Duration::from_millis(100), Duration::from_hours(1));
+        let grace = section.time("grace", Duration::from_secs(5), (least, most));
+        let readiness = section.optional("readiness", "a socket address")?;
+        let address = vm?.address;
+        Some(Self {
+            packets: packets.unwrap_or(PacketForm::Tunneled),
+            fabric: fabric.unwrap_or(SocketAddr::new(address, fabric_port?)),
+            readiness,
+            grace: grace?,
+            peer_port: peer_port?,
+            cached_flows: cached_flows?,
+        })
     }
 }
 
 impl fmt::Display for Entry {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "[entry]")?;
-        writeln!(formatter, "fabric_port = {}", self.fabric_port)?;
+        writeln!(formatter, "packets = {}", self.packets)?;
+        writeln!(formatter, "fabric = {}", self.fabric)?;
+        if let Some(readiness) = self.readiness {
+            writeln!(formatter, "readiness = {readiness}")?;
+        }
+        writeln!(formatter, "grace = {}", humantime::format_duration(self.grace))?;
         writeln!(formatter, "peer_port = {}", self.peer_port)?;
         writeln!(formatter, "cached_flows = {}", self.cached_flows)
     }
--- a/crates/hyssopdyked/src/settings/file.rs
+++ b/crates/hyssopdyked/src/settings/file.rs
@@ -114,6 +114,18 @@
         self.parsed(key, &text, expected)
     }
 
+    /// Value of a key that may be missing or empty.
+    pub(crate) fn optional<T: FromStr>(
+        &mut self,
+        key: &'static str,
+        expected: &'static str,
+    ) -> Option<Option<T>> {
+        match self.optional_text(key).filter(|text| !text.is_empty()) {
+            Some(text) => self.parsed(key, &text, expected).map(Some),
+            None => Some(None),
+        }
+    }
+
     /// Values of a key, separated by commas; none where the key is missing.
     pub(crate) fn list<T: FromStr>(
         &mut self,
--- a/crates/hyssopdyked/src/settings/mod.rs
+++ b/crates/hyssopdyked/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! Every fault in the file is found in one run and names its section and key.
 
 mod agent;
+mod border;
 mod cluster;
 mod control;
 mod entry;
@@ -12,8 +13,9 @@
 mod vm;
 
 pub(crate) use agent::Agent;
+pub(crate) use border::PacketForm;
 pub(crate) use cluster::Cluster;
-pub(crate) use control::Control;
+pub(crate) use control::{Control, Voter};
 pub(crate) use entry::Entry;
 pub(crate) use fault::Error;
 pub(crate) use file::{File, Section};
--- a/crates/hyssopdyked/tests/support/mod.rs
+++ b/crates/hyssopdyked/tests/support/mod.rs
@@ -167,7 +167,12 @@
         protocol: Protocol::Tcp as i32,
         class: Class::Request as i32,
     };
-    let service =
-        Service { listeners: vec![listener], connections, slots: 5, cold_slots: 1, epoch: 0 };
+    let service = Service {
+        listeners: vec![listener],
+        connections,
+        slots: 5,
+        cold_slots: 1,
+        ..Service::default()
+    };
     Resource { name: name.into(), body: Some(Body::Service(service)), ..Resource::default() }
 }
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -465,7 +465,7 @@
                 connections: layout.connections,
                 slots: layout.slots,
                 cold_slots: layout.cold_slots,
-                epoch: 0,
+                ..Service::default()
             };
             let resource = Resource {
                 name: layout.name.to_string(),
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -93,7 +93,7 @@
         Report { sequence: 99_999, epoch: 99_999, opened: vec![record], ..Report::default() };
     let forward =
         Forward { packet: packet.clone(), hops: 2, entry_address: u32::MAX, entry_port: 5556 };
-    let load = Some(Load { weight: 50_000, room: 5, ejected: false });
+    let load = Some(Load { weight: 50_000, room: 5, ejected: false, closed: false });
     let messages = [
         ("forward of a 60-byte packet", Message::Forward(forward)),
         ("offer of a 60-byte packet", Message::Offer(Offer { packet })),
@@ -102,7 +102,7 @@
         ("report of one flow", Message::Report(report)),
         ("reported", Message::Reported(Reported { sequence: 99_999 })),
         ("ping with load", Message::Ping(Ping { nonce: u64::MAX, load })),
-        ("pong", Message::Pong(Pong { nonce: u64::MAX })),
+        ("pong", Message::Pong(Pong { nonce: u64::MAX, active: true })),
     ];
     println!("{:<34} {:>9}", "message", "bytes");
     for (name, body) in messages {
@@ -230,7 +230,8 @@
         protocol: resource::Protocol::Tcp as i32,
         class: Class::Request as i32,
     };
-    Service { listeners: vec![listener], connections: 2000, slots: 5, cold_slots: 1, epoch: 0 }
+    let listeners = vec![listener];
+    Service { listeners, connections: 2000, slots: 5, cold_slots: 1, ..Service::default() }
 }
 
 // Real agents of one service at rest
