--- a/crates/hyssopdyke/src/process/journal.rs
+++ b/crates/hyssopdyke/src/process/journal.rs
@@ -1,9 +1,11 @@
 //! The durable log of a control VM, with its snapshot and its vote.
 //!
-//! A record of the log is the length of an entry, the CRC-32 of the length, the CRC-32 of the
-//! entry, each four bytes and little-endian, the entry, and one byte that marks the end. The
-//! snapshot and the vote are one such record each. What was written is trusted only once it was
-//! synced, and nothing is acknowledged before.
+//! A record is the length of its content, the CRC-32 of the length, the CRC-32 of the content,
+//! each four bytes and little-endian, the content, and one byte that marks the end. The log holds
+//! a record for each batch of entries that was synced together and is only ever appended to, so
+//! that a crash can tear nothing but the batch that was not acknowledged yet: a batch names the
+//! entry that it follows, and takes the place of all that followed that entry before. The
+//! snapshot and the vote are one record each.
 //!
 //! A record that the file ends within, or that lacks its end mark, was never synced and is cut
 //! off. Any other record whose checksums are wrong was damaged later: the journal does not open,
@@ -11,7 +13,7 @@
 
 use std::io;
 
-use hyssopdyke_wire::ledger::{Entry, Snapshot, Vote};
+use hyssopdyke_wire::ledger::{Batch, Entry, Snapshot, Vote};
 use prost::Message;
 
 use super::Disk;
@@ -66,8 +68,8 @@
     snapshot: Snapshot,
     vote: Vote,
     entries: Vec<Entry>,
-    /// Start of each entry's record, and the end of the last.
-    offsets: Vec<u64>,
+    /// Bytes of the log that hold whole records.
+    log_bytes: u64,
     cut_bytes: u64,
     is_failed: bool,
 }
@@ -88,7 +90,7 @@
             snapshot,
             vote,
             entries: Vec::new(),
-            offsets: vec![0],
+            log_bytes: 0,
             cut_bytes: 0,
             is_failed: false,
         };
@@ -102,6 +104,18 @@
         self.cut_bytes
     }
 
+    /// Bytes of the log since it was last rewritten.
+    #[must_use]
+    pub const fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    /// Whether a write has failed, so that the journal takes nothing more until it is repaired.
+    #[must_use]
+    pub const fn is_failed(&self) -> bool {
+        self.is_failed
+    }
+
     /// The last vote.
     #[must_use]
     pub const fn vote(&self) -> &Vote {
@@ -161,24 +175,31 @@
     /// [`Error::Io`]; the journal takes nothing more, since the log's end is not known.
     pub fn store_entries(&mut self, previous: u64, entries: Vec<Entry>) -> Result<(), Error> {
         self.check()?;
-        let keep = previous.saturating_sub(self.snapshot.index) as usize;
-        let Some(offset) = self.offsets.get(keep).copied() else {
+        let keep = previous.checked_sub(self.snapshot.index).map(|keep| keep as usize);
+        let Some(keep) = keep.filter(|keep| *keep <= self.entries.len()) else {
             return Err(Error::Sequence { found: previous + 1, expected: self.last_index() + 1 });
         };
-        let mut bytes = Vec::new();
-        let mut ends = Vec::with_capacity(entries.len());
-        for entry in &entries {
-            bytes.extend(record(entry));
-            ends.push(offset + bytes.len() as u64);
-        }
-        if let Err(source) = self.disk.write(LOG, offset, &bytes) {
+        let batch = Batch { previous, entries };
+        let bytes = record(&batch);
+        if let Err(source) = self.disk.write(LOG, self.log_bytes, &bytes) {
             self.is_failed = true;
             return Err(Error::Io { file: LOG, source });
         }
+        self.log_bytes += bytes.len() as u64;
         self.entries.truncate(keep);
-        self.offsets.truncate(keep + 1);
-        self.entries.extend(entries);
-        self.offsets.extend(ends);
+        self.entries.extend(batch.entries);
+        Ok(())
+    }
+
+    /// Writes all anew after a failure, whereupon the journal takes more.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Io`] while the disk fails still.
+    pub fn repair(&mut self) -> Result<(), Error> {
+        self.replace(VOTE, &record(&self.vote.clone()))?;
+        self.rewrite_log()?;
+        self.is_failed = false;
         Ok(())
     }
 
@@ -199,18 +220,20 @@
         self.replace(SNAPSHOT, &record(&snapshot))?;
         self.snapshot = snapshot;
         self.entries = rest;
-        let bytes: Vec<u8> = self.index_records();
-        self.replace(LOG, &bytes)
+        self.rewrite_log()
     }
 
-    fn index_records(&mut self) -> Vec<u8> {
-        let mut bytes = Vec::new();
-        self.offsets = vec![0];
-        for entry in &self.entries {
-            bytes.extend(record(entry));
-            self.offsets.push(bytes.len() as u64);
-        }
-        bytes
+    /// Puts the entries that follow the snapshot in place of the log.
+    fn rewrite_log(&mut self) -> Result<(), Error> {
+        let bytes = if self.entries.is_empty() {
+            Vec::new()
+        } else {
+            let (previous, entries) = (self.snapshot.index, self.entries.clone());
+            record(&Batch { previous, entries })
+        };
+        self.replace(LOG, &bytes)?;
+        self.log_bytes = bytes.len() as u64;
+        Ok(())
     }
 
     fn replace(&mut self, file: &'static str, bytes: &[u8]) -> Result<(), Error> {
@@ -227,10 +250,10 @@
     fn load(&mut self, bytes: &[u8]) -> Result<(), Error> {
         let mut offset = 0;
         while offset < bytes.len() {
-            let entry: Entry = match decode(&bytes[offset..]) {
-                Decoded::Whole(entry, length) => {
+            match decode(&bytes[offset..]) {
+                Decoded::Whole(batch, length) => {
+                    self.take_in(batch)?;
                     offset += length;
-                    entry
                 }
                 Decoded::Torn => {
                     self.cut_bytes = (bytes.len() - offset) as u64;
@@ -239,21 +262,32 @@
                 Decoded::Damaged => {
                     return Err(Error::Damaged { file: LOG, offset: offset as u64 });
                 }
-            };
-            // A crash between a new snapshot and its shorter log leaves entries of both.
-            if entry.index <= self.snapshot.index {
-                continue;
             }
+        }
+        self.log_bytes = offset as u64;
+        if self.cut_bytes > 0 {
+            self.rewrite_log()?;
+        }
+        Ok(())
+    }
+
+    /// Follows a batch of the log.
+    ///
+    /// A crash between a new snapshot and its shorter log leaves entries of both.
+    fn take_in(&mut self, batch: Batch) -> Result<(), Error> {
+        let keep = batch.previous.saturating_sub(self.snapshot.index) as usize;
+        if keep > self.entries.len() {
             let expected = self.last_index() + 1;
+            return Err(Error::Sequence { found: batch.previous + 1, expected });
+        }
+        self.entries.truncate(keep);
+        for entry in batch.entries.into_iter().filter(|entry| entry.index > self.snapshot.index) {
+            let expected = self.snapshot.index + self.entries.len() as u64 + 1;
             if entry.index != expected {
                 return Err(Error::Sequence { found: entry.index, expected });
             }
             self.entries.push(entry);
         }
-        let whole = self.index_records();
-        if whole.len() != bytes.len() {
-            self.replace(LOG, &whole)?;
-        }
         Ok(())
     }
 }
@@ -282,7 +316,8 @@
         return Decoded::Torn;
     };
     if crc32fast::hash(length) != u32::from_le_bytes(*length_checksum) {
-        let is_unwritten = bytes.iter().all(|byte| *byte == 0);
+        // A torn header is followed by nothing that was written.
+        let is_unwritten = bytes.iter().skip(HEADER_BYTES).all(|byte| *byte == 0);
         return if is_unwritten { Decoded::Torn } else { Decoded::Damaged };
     }
     let length = u32::from_le_bytes(*length) as usize;
--- a/crates/hyssopdyke/tests/journal.rs
+++ b/crates/hyssopdyke/tests/journal.rs
@@ -123,9 +123,14 @@
 #[test]
 fn open_tornend() {
     let disk = Memory::new(usize::MAX);
-    Journal::open(disk.clone()).unwrap().store_entries(0, entries(1, 3, 1)).unwrap();
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    for index in 1..=2 {
+        journal.store_entries(index - 1, entries(index, index, 1)).unwrap();
+    }
+    let before = disk.files.borrow()["log"].len();
+    journal.store_entries(2, entries(3, 3, 1)).unwrap();
     let whole = disk.files.borrow()["log"].clone();
-    let record = whole.len() / 3;
+    let record = whole.len() - before;
     for cut in 1..record {
         let torn = disk.restarted();
         torn.files.borrow_mut().insert("log".into(), whole[..whole.len() - cut].into());
@@ -173,6 +178,58 @@
     assert_eq!(terms, [(1, 1), (2, 1), (3, 2)]);
 }
 
+#[test]
+fn open_tornbatch() {
+    // A batch that was torn by a loss of power: its file has its length, but not all its bytes.
+    let disk = Memory::new(usize::MAX);
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    journal.store_entries(0, entries(1, 2, 1)).unwrap();
+    let synced = disk.files.borrow()["log"].len();
+    journal.store_entries(2, entries(3, 6, 1)).unwrap();
+    let whole = disk.files.borrow()["log"].clone();
+    for written in synced..whole.len() {
+        let mut torn = whole[..written].to_vec();
+        torn.resize(whole.len(), 0);
+        disk.files.borrow_mut().insert("log".into(), torn);
+        let journal = Journal::open(disk.restarted()).unwrap();
+        assert_eq!(journal.last_index(), 2, "{written} bytes written");
+    }
+}
+
+#[test]
+fn open_tornconflict() {
+    // A batch that replaces others is torn: what it would have replaced was acknowledged.
+    let disk = Memory::new(usize::MAX);
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    journal.store_entries(0, entries(1, 4, 1)).unwrap();
+    let before = disk.files.borrow()["log"].len();
+    journal.store_entries(2, entries(3, 3, 2)).unwrap();
+    let whole = disk.files.borrow()["log"].clone();
+    for written in before..whole.len() {
+        disk.files.borrow_mut().insert("log".into(), whole[..written].to_vec());
+        let journal = Journal::open(disk.restarted()).unwrap();
+        let terms: Vec<_> = journal.entries().iter().map(|entry| entry.term).collect();
+        assert_eq!(terms, [1, 1, 1, 1], "{written} bytes written");
+    }
+}
+
+#[test]
+fn repair_afterfulldisk() {
+    let disk = Memory::new(usize::MAX);
+    let mut journal = Journal::open(disk.clone()).unwrap();
+    journal.store_entries(0, entries(1, 2, 1)).unwrap();
+    *disk.budget.borrow_mut() = 3;
+    journal.store_entries(2, entries(3, 3, 1)).unwrap_err();
+    assert!(journal.is_failed());
+    journal.repair().unwrap_err();
+    *disk.budget.borrow_mut() = usize::MAX;
+    journal.repair().unwrap();
+    journal.store_entries(2, entries(3, 3, 2)).unwrap();
+    let reopened = Journal::open(disk.restarted()).unwrap();
+    let terms: Vec<_> = reopened.entries().iter().map(|entry| entry.term).collect();
+    assert_eq!(terms, [1, 1, 2]);
+}
+
 #[test]
 fn store_gap() {
     let mut journal = Journal::open(Memory::new(usize::MAX)).unwrap();
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use hyssopdyke::connection::{self, Flow, Protocol, Record};
 use hyssopdyke::request::{Border, Packet};
-use hyssopdyke::version::Route;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
 use slog::debug;
@@ -61,7 +60,8 @@
 
     fn unplaced(&mut self, flow: Flow, packet: &Packet, forward: Forward, from: SocketAddr) {
         let opens = packet.segment.is_none_or(|segment| segment.opens());
-        if !self.knows_all_flows() && !(opens && B::SETTLES_OPENING) {
+        let may_place = B::SETTLES_OPENING && opens;
+        if !may_place && !self.knows_all_flows() {
             return self.hold(forward, from);
         }
         if opens {
@@ -81,18 +81,13 @@
     fn place(&mut self, flow: Flow, packet: Bytes) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
-        let Some(service) = self.draw_service(route) else { return };
+        let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
         let offer = connection::Offer::new(packet, service, TRIES, Instant::now());
         self.directory.offer(flow, offer);
         self.metrics.count("placed");
         self.ask_next(flow);
     }
 
-    /// Draws the service of a new flow by the route's weights.
-    fn draw_service(&mut self, route: &Route) -> Option<Box<str>> {
-        route.draw(rand::random()).map(Into::into)
-    }
-
     /// Places a flow that an upstream gave back at another one.
     pub(super) fn place_again(&mut self, flow: Flow, former: vm::Id, packet: Bytes) {
         self.directory.end(&flow, former, None);
@@ -111,7 +106,7 @@
     fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
-        let Some(service) = self.draw_service(route) else { return };
+        let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
         let offer = connection::Offer::new(packet.clone(), service, TRIES, Instant::now());
         self.directory.offer(flow, connection::Offer { asked: Some(owner), ..offer });
         self.send_offer(owner, packet);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -313,8 +313,8 @@
                 if let (Some(vm), Some(load)) = (self.peers.id(from), ping.load) {
                     self.peers.note(vm, load);
                 }
-                let pong = self.membership.pong(ping, Instant::now());
-                self.send_to(from, Body::Pong(pong));
+                let answer = self.membership.pong(ping, Instant::now());
+                self.send_to(from, Body::Pong(answer));
             }
             Some(Body::Pong(pong)) => self.membership.vouch(from, revision, pong),
             Some(Body::Pull(pull)) => self.membership.serve(&mut self.link, from, pull),
--- a/crates/hyssopdyked/src/control/consensus/election.rs
+++ b/crates/hyssopdyked/src/control/consensus/election.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use slog::{info, warn};
 
-use super::{Consensus, ELECTION, QUORUM, Role};
+use super::{Consensus, ELECTION, HEARTBEAT, QUORUM, Role};
 use crate::control::handle::{Error, Leadership};
 
 impl Consensus {
@@ -26,18 +26,27 @@
                     self.step_down(None);
                     return Ok(());
                 }
+                let last_look = self.deadline - HEARTBEAT;
                 self.broadcast();
+                self.look_after_members(last_look);
                 Ok(())
             }
-            _ => self.campaign(true),
+            _ => {
+                self.ask_to_join();
+                self.campaign(true, false)
+            }
         }
     }
 
     /// Asks for votes; a trial changes no term, so that a VM that was cut off does not disturb
     /// the others when it is back.
-    pub(super) fn campaign(&mut self, is_trial: bool) -> Result<(), JournalError> {
+    pub(super) fn campaign(
+        &mut self,
+        is_trial: bool,
+        is_handover: bool,
+    ) -> Result<(), JournalError> {
         self.reset_deadline();
-        if !self.may_vote() {
+        if !self.may_vote() || self.journal.is_failed() {
             return Ok(());
         }
         let term = self.journal.vote().term + 1;
@@ -59,6 +68,7 @@
             last_index,
             last_term: self.journal.term(last_index).unwrap_or(0),
             trial: is_trial,
+            handover: is_handover,
         };
         self.send_all(&Body::VoteRequest(request));
         self.count_votes()
@@ -70,7 +80,7 @@
             return Ok(());
         }
         if *is_trial {
-            return self.campaign(false);
+            return self.campaign(false, false);
         }
         self.lead();
         Ok(())
@@ -131,10 +141,14 @@
         Ok(())
     }
 
+    fn hears_leader(&self) -> bool {
+        matches!(self.role, Role::Leader { .. })
+            || self.leader_heard.is_some_and(|heard| heard.elapsed() < ELECTION)
+    }
+
     pub(super) fn vote(&mut self, from: &str, request: &VoteRequest) -> Result<(), JournalError> {
         // While a leader is heard, a candidate has merely lost its own connection.
-        let has_leader = matches!(self.role, Role::Leader { .. })
-            || self.leader_heard.is_some_and(|heard| heard.elapsed() < ELECTION);
+        let has_leader = !request.handover && self.hears_leader();
         let is_voter = self.has_vote(from, request.identity) && self.may_vote();
         if has_leader || !is_voter {
             return Ok(());
--- a/crates/hyssopdyked/src/control/consensus/mod.rs
+++ b/crates/hyssopdyked/src/control/consensus/mod.rs
@@ -9,6 +9,7 @@
 mod election;
 mod follow;
 mod follower;
+mod join;
 mod replicate;
 mod voters;
 
@@ -20,11 +21,13 @@
 use hyssopdyke::process::{Folder, Journal, JournalError};
 use hyssopdyke::version::{Outcome, Registry};
 use hyssopdyke_wire::ledger::{Configuration, Entry, Message, message::Body};
-use slog::info;
+use rand::Rng;
+use slog::{info, warn};
 use tokio::sync::{RwLock, mpsc, oneshot, watch};
 use tokio::time::sleep_until;
 
 use follower::Follower;
+pub(super) use join::Members;
 
 use super::handle::{Error, Handle, Leadership, Quorum, Request};
 use super::replica::Outgoing;
@@ -43,6 +46,16 @@
 /// Applied entries after which the log is replaced by a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 4096;
 
+/// Bytes of the log after which it is replaced by a snapshot: a small part of a control VM's disk.
+const SNAPSHOT_BYTES: u64 = 8 << 20;
+
+/// Time after a failure of the disk before it is tried again.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Most of the time that a VM which has just started waits for a leader. The others answer a trial
+/// vote only where they hear none.
+const FIRST_ELECTION: Duration = Duration::from_millis(250);
+
 /// Requests that may wait for the log.
 const QUEUE: usize = 4096;
 
@@ -89,6 +102,9 @@
     applied: u64,
     deadline: Instant,
     leader_heard: Option<Instant>,
+    /// When a disk that has failed is tried again.
+    repair_at: Option<Instant>,
+    members: Members,
     /// Where the VMs that were heard take messages.
     peers: HashMap<Box<str>, SocketAddr>,
     proposed: Vec<Entry>,
@@ -105,6 +121,7 @@
         identity: u64,
         address: SocketAddr,
         journal: Journal<Folder>,
+        members: Members,
         outgoing: Outgoing,
         metrics: Metrics,
         events: Events,
@@ -142,6 +159,8 @@
             applied,
             deadline: Instant::now(),
             leader_heard: None,
+            repair_at: None,
+            members,
             peers: HashMap::new(),
             proposed: Vec::new(),
             replies: BTreeMap::new(),
@@ -150,7 +169,8 @@
             events,
         };
         consensus.find_configuration();
-        consensus.reset_deadline();
+        consensus.deadline =
+            Instant::now() + rand::rng().random_range(Duration::ZERO..FIRST_ELECTION);
         // The only voter need not wait for others.
         if consensus.configuration.voters.len() == 1 {
             consensus.deadline = Instant::now();
@@ -158,25 +178,67 @@
         (handle, consensus)
     }
 
-    /// Serves until the journal fails.
+    /// Serves until the journal is found damaged.
+    ///
+    /// A disk that refuses or fails writes makes this VM a follower that acknowledges nothing; it
+    /// goes on once the disk works again.
     pub(super) async fn run(mut self) -> Result<(), JournalError> {
         loop {
-            let deadline = tokio::time::Instant::from_std(self.deadline);
-            tokio::select! {
-                request = self.inbox.recv() => {
-                    let Some(request) = request else { return Ok(()) };
+            match self.serve_next().await {
+                Ok(true) => {}
+                Ok(false) => return Ok(()),
+                Err(error @ (JournalError::Io { .. } | JournalError::Failed)) => {
+                    self.disk_failed(&error);
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Serves what comes next; false where nobody is left to ask for anything.
+    async fn serve_next(&mut self) -> Result<bool, JournalError> {
+        let deadline = self.repair_at.map_or(self.deadline, |repair| repair.min(self.deadline));
+        tokio::select! {
+            request = self.inbox.recv() => {
+                let Some(request) = request else { return Ok(false) };
+                self.take(request).await?;
+                for _ in 0..GATHERED {
+                    let Ok(request) = self.inbox.try_recv() else { break };
                     self.take(request).await?;
-                    for _ in 0..GATHERED {
-                        let Ok(request) = self.inbox.try_recv() else { break };
-                        self.take(request).await?;
-                    }
                 }
-                () = sleep_until(deadline) => self.expire()?,
             }
-            self.store_proposed()?;
-            self.advance();
-            self.apply().await?;
+            () = sleep_until(deadline.into()) => {}
         }
+        self.repair_disk()?;
+        if Instant::now() >= self.deadline {
+            self.expire()?;
+        }
+        self.store_proposed()?;
+        self.advance();
+        self.apply().await?;
+        Ok(true)
+    }
+
+    fn disk_failed(&mut self, error: &JournalError) {
+        if self.repair_at.is_none() {
+            warn!(self.events.logger(), "disk failed"; "reason" => %error);
+        }
+        self.repair_at = Some(Instant::now() + REPAIR_INTERVAL);
+        if !matches!(self.role, Role::Follower) {
+            self.step_down(None);
+        }
+        // A change of the voters may have been proposed and not stored.
+        self.find_configuration();
+    }
+
+    fn repair_disk(&mut self) -> Result<(), JournalError> {
+        if self.repair_at.is_none_or(|at| Instant::now() < at) {
+            return Ok(());
+        }
+        tokio::task::block_in_place(|| self.journal.repair())?;
+        info!(self.events.logger(), "disk works again");
+        self.repair_at = None;
+        Ok(())
     }
 
     async fn take(&mut self, request: Request) -> Result<(), JournalError> {
@@ -186,6 +248,7 @@
             Request::Confirm(reply) => self.confirm(reply),
             Request::Admit(voter, reply) => self.admit(&voter, reply),
             Request::Remove(name, reply) => self.remove(&name, reply),
+            Request::Handover(reply) => self.hand_over(reply),
         }
         Ok(())
     }
@@ -201,6 +264,11 @@
             Some(Body::Append(append)) => self.take_entries(&from, append),
             Some(Body::Appended(appended)) => self.appended(&from, &appended),
             Some(Body::Install(install)) => self.install(from, install).await,
+            Some(Body::Join(join)) => {
+                self.joined(&from, &join);
+                Ok(())
+            }
+            Some(Body::Handover(handover)) => self.take_over(&from, &handover),
             None => Ok(()),
         }
     }
@@ -223,7 +291,9 @@
         let revision = registry.store().revision();
         self.events.set_revision(revision);
         self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
-        if self.applied - self.journal.snapshot().index >= SNAPSHOT_ENTRIES {
+        let is_long = self.applied - self.journal.snapshot().index >= SNAPSHOT_ENTRIES
+            || self.journal.log_bytes() >= SNAPSHOT_BYTES;
+        if is_long && !self.journal.is_failed() {
             let term = self.journal.term(self.applied).unwrap_or(0);
             let snapshot = registry.snapshot(self.applied, term);
             drop(registry);
--- a/crates/hyssopdyked/src/control/consensus/replicate.rs
+++ b/crates/hyssopdyked/src/control/consensus/replicate.rs
@@ -13,6 +13,9 @@
 /// Entries in one message.
 const BATCH: usize = 512;
 
+/// Bytes of entries after which a message takes no more.
+const BATCH_BYTES: usize = 1 << 20;
+
 /// Time before a snapshot is sent again.
 const INSTALL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -31,6 +34,7 @@
             follower.identity = Some(appended.identity);
             (follower.matched, follower.next) = (0, last + 1);
         }
+        follower.heard = Instant::now();
         follower.round = follower.round.max(appended.round);
         follower.installed = None;
         if appended.success {
@@ -41,7 +45,7 @@
         }
         let is_behind = follower.next <= last;
         self.count_round();
-        self.admit_caught_up();
+        self.change_members();
         if is_behind {
             self.send_entries(from);
         }
@@ -147,7 +151,7 @@
             Some(previous_term) if previous >= self.journal.snapshot().index => {
                 let start = (previous - self.journal.snapshot().index) as usize;
                 let rest = self.journal.entries().get(start..).unwrap_or_default();
-                let entries = rest[..rest.len().min(BATCH)].to_vec();
+                let entries = batch(rest);
                 // Entries count as sent, so that the next message carries only new ones.
                 follower.next += entries.len() as u64;
                 Body::Append(Append {
@@ -198,3 +202,14 @@
         }
     }
 }
+
+/// The first of some entries, as many as one message takes.
+fn batch(entries: &[Entry]) -> Vec<Entry> {
+    let mut bytes = 0;
+    let fits = entries.iter().take(BATCH).take_while(|entry| {
+        let is_within = bytes < BATCH_BYTES;
+        bytes += entry.encoded_len();
+        is_within
+    });
+    fits.cloned().collect()
+}
--- a/crates/hyssopdyked/src/control/consensus/voters.rs
+++ b/crates/hyssopdyked/src/control/consensus/voters.rs
@@ -42,10 +42,11 @@
     }
 
     /// Sends a VM entries from now on; false where this VM does not lead.
-    fn add_follower(&mut self, name: Box<str>, address: SocketAddr) -> bool {
+    pub(super) fn add_follower(&mut self, name: Box<str>, address: SocketAddr) -> bool {
         let last = self.journal.last_index();
         let Role::Leader { followers, .. } = &mut self.role else { return false };
-        followers.entry(name).or_insert_with(|| Follower::new(address, last));
+        let follower = followers.entry(name).or_insert_with(|| Follower::new(address, last));
+        follower.address = address;
         true
     }
 
@@ -99,31 +100,6 @@
         let body = command::Body::Configuration(Configuration { voters });
         self.append(Command { body: Some(body) });
     }
-
-    /// Records the identity of a VM that has all entries but no vote.
-    pub(super) fn admit_caught_up(&mut self) {
-        if self.commit < self.configuration_index {
-            return;
-        }
-        let Role::Leader { followers, .. } = &self.role else { return };
-        let last = self.journal.last_index();
-        let caught_up = followers.iter().find_map(|(name, follower)| {
-            let identity = follower.identity?;
-            let is_due = follower.matched == last && !self.has_vote(name, identity);
-            is_due.then(|| Voter {
-                name: name.to_string(),
-                identity,
-                address: follower.address.to_string(),
-            })
-        });
-        if let Some(admitted) = caught_up {
-            let mut voters = self.configuration.voters.clone();
-            voters.retain(|voter| voter.name != admitted.name);
-            voters.push(admitted);
-            voters.sort_by(|a, b| a.name.cmp(&b.name));
-            self.change_voters(voters);
-        }
-    }
 }
 
 /// The configuration that an entry holds.
--- a/crates/hyssopdyked/src/control/handle.rs
+++ b/crates/hyssopdyked/src/control/handle.rs
@@ -36,6 +36,8 @@
     Confirm(oneshot::Sender<Result<(), Error>>),
     /// Catches a VM up and gives it a vote.
     Admit(Voter, oneshot::Sender<Result<(), Error>>),
+    /// Asks another VM to lead.
+    Handover(oneshot::Sender<Result<(), Error>>),
     /// Takes a VM's vote.
     Remove(Box<str>, oneshot::Sender<Result<(), Error>>),
 }
@@ -105,6 +107,11 @@
         self.request(|reply| Request::Admit(voter, reply)).await
     }
 
+    /// Asks another control VM to lead, where this one does.
+    pub(super) async fn hand_over(&self) -> Result<(), Error> {
+        self.request(Request::Handover).await
+    }
+
     /// Takes a control VM's vote.
     pub(super) async fn remove(&self, name: Box<str>) -> Result<(), Error> {
         self.request(|reply| Request::Remove(name, reply)).await
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -18,6 +18,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use hyssopdyke::process::{Folder, Journal};
@@ -26,22 +27,27 @@
 use hyssopdyke_wire::{Key, Purpose};
 use slog::{info, warn};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 use crate::log::Events;
 use crate::metrics::Metrics;
 use crate::reload;
 use crate::settings::{self, Control, Settings, Vm};
 use crate::stop::Stop;
-use consensus::Consensus;
+use consensus::{Consensus, Members};
+use handle::Handle;
 use identity::Identity;
 use leases::Leases;
 use operator::Orders;
 
+/// Time in which another VM must have taken over before this one stops.
+const HANDOVER: Duration = Duration::from_secs(1);
+
 /// Runs a control VM until it is asked to stop.
 pub(crate) async fn run(
     settings: Settings<Control>,
     events: Events,
-    _seeds: reload::Control,
+    seeds: reload::Control,
     mut stop: Stop,
 ) -> Result<()> {
     let Settings { common, role } = settings;
@@ -70,15 +76,35 @@
     let metrics = Metrics::open("control", &common)?;
     let address = replicas.local_addr()?;
     let name = voter_name(&role, &common.vm);
+    let members = Members {
+        seeds,
+        port: address.port(),
+        votes: (!role.seeds.is_empty()).then_some(2 * role.tolerance + 1),
+    };
     let outgoing = replica::Outgoing::new(key.clone());
-    let (handle, consensus) =
-        Consensus::open(name, identity, address, journal, outgoing, metrics, events.clone());
+    let (handle, consensus) = Consensus::open(
+        name,
+        identity,
+        address,
+        journal,
+        members,
+        outgoing,
+        metrics,
+        events.clone(),
+    );
     let leases = Arc::new(Leases::new(role.lease));
     let mut router = api::router(handle.clone(), Arc::clone(&leases));
     if role.platform {
         let operator = Orders::new(handle.clone(), api.local_addr()?.port());
         router = router.merge(orders::router(operator));
     }
+    let stopped = {
+        let handle = handle.clone();
+        async move {
+            stop.asked().await;
+            hand_over(&handle).await;
+        }
+    };
     tokio::select! {
         result = consensus.run() => result.wrap_err("the log failed")?,
         result = replica::serve(replicas, key.clone(), handle.clone()) => result?,
@@ -86,12 +112,22 @@
             => result?,
         result = axum::serve(api, router) => result?,
         () = leases::expire(handle, leases, events.clone()) => {}
-        () = stop.asked() => {}
+        () = stopped => {}
     }
     info!(events.logger(), "control stopped");
     Ok(())
 }
 
+/// Lets another VM lead before this one stops, so that orders need not wait for an election.
+async fn hand_over(handle: &Handle) {
+    let mut leadership = handle.leadership.clone();
+    if handle.hand_over().await.is_ok() {
+        let is_followed = leadership.wait_for(|now| now.since.is_none() && now.leader.is_some());
+        // Without a successor in time the others elect one by themselves.
+        let _ = timeout(HANDOVER, is_followed).await;
+    }
+}
+
 /// Opens the journal, which is formed anew in an empty folder.
 ///
 /// A VM that has no other voters in its settings forms a system of its own; the others do so only
--- a/crates/hyssopdyked/src/control/replica.rs
+++ b/crates/hyssopdyked/src/control/replica.rs
@@ -11,13 +11,14 @@
 use futures_util::{SinkExt, StreamExt};
 use hyssopdyke_wire::ledger::Message;
 use hyssopdyke_wire::{Codec, Key};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, FramedRead};
 
 use super::handle::{Handle, Request};
+use crate::stream;
 
 /// Bytes of the longest message: a snapshot of the whole state.
 const MESSAGE_BYTES: usize = 32 << 20;
@@ -25,7 +26,10 @@
 /// Messages that may wait for a connection.
 const QUEUE: usize = 64;
 
-/// Time for connecting, and for writing a message.
+/// Time for connecting: several times the longest way and back.
+const CONNECTING: Duration = Duration::from_millis(500);
+
+/// Time for writing a message.
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// Pause before a lost connection is opened again.
@@ -60,8 +64,7 @@
 /// Sends messages to one VM, over one connection after another.
 async fn feed(to: SocketAddr, key: Key, mut messages: mpsc::Receiver<Message>) {
     while !messages.is_closed() {
-        if let Ok(Ok(stream)) = timeout(PATIENCE, TcpStream::connect(to)).await {
-            let _ = stream.set_nodelay(true);
+        if let Ok(stream) = stream::connect(to, CONNECTING).await {
             let codec = Codec::with_frame_bytes(key.clone(), MESSAGE_BYTES);
             let mut stream = Framed::new(stream, codec);
             while let Some(message) = messages.recv().await {
--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -19,6 +19,7 @@
 use super::handle::{Error as LogError, Handle, Leadership};
 use super::leases::Leases;
 use crate::log::Events;
+use crate::stream;
 
 /// Time for a daemon's first frame, and for writing a frame.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -58,7 +59,7 @@
 ) -> std::io::Result<()> {
     loop {
         let (stream, from) = listener.accept().await?;
-        stream.set_nodelay(true)?;
+        stream::tune(&stream)?;
         let stream = Framed::new(stream, Codec::new(key.clone()));
         let (handle, leases, events) = (handle.clone(), Arc::clone(&leases), events.clone());
         tokio::spawn(async move {
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -199,8 +199,8 @@
                 self.membership.receive(&mut self.link, from, page);
             }
             Some(Body::Ping(ping)) => {
-                let pong = self.membership.pong(ping, Instant::now());
-                let answer = self.membership.message(Body::Pong(pong));
+                let answer = self.membership.pong(ping, Instant::now());
+                let answer = self.membership.message(Body::Pong(answer));
                 self.link.send(&answer, from);
             }
             Some(Body::Pong(pong)) => self.membership.vouch(from, revision, pong),
--- a/crates/hyssopdyked/src/main.rs
+++ b/crates/hyssopdyked/src/main.rs
@@ -10,6 +10,7 @@
 mod reload;
 mod settings;
 mod stop;
+mod stream;
 
 use std::process::ExitCode;
 
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -18,11 +18,15 @@
 use crate::log::Events;
 use crate::reload::Control;
 use crate::settings::Cluster;
+use crate::stream;
 
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(1);
 
-/// Time for connecting, and for the answer to a renewal.
+/// Time for connecting: several times the longest way and back.
+const CONNECTING: Duration = Duration::from_millis(500);
+
+/// Time for the answer to a renewal.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
 /// Pause before the next control VM is tried.
@@ -135,8 +139,6 @@
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 enum End {
-    #[error("no connection within {PATIENCE:?}")]
-    Unreachable,
     #[error("connecting: {0}")]
     Connect(#[from] std::io::Error),
     #[error("{0}")]
@@ -162,7 +164,7 @@
             let leader = self.learned.first().copied();
             match self.hold(address).await {
                 End::Stopped => return,
-                end @ (End::Unreachable | End::Connect(_) | End::Refused(_)) => {
+                end @ (End::Connect(_) | End::Refused(_)) => {
                     slog::debug!(self.events.logger(), "no session with control";
                         "control" => %address, "reason" => %end);
                 }
@@ -207,9 +209,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Framed<TcpStream, Codec<Frame>>, End> {
-        let connecting = timeout(PATIENCE, TcpStream::connect(address));
-        let stream = connecting.await.map_err(|_| End::Unreachable)??;
-        stream.set_nodelay(true)?;
+        let stream = stream::connect(address, CONNECTING).await?;
         let mut stream = Framed::new(stream, Codec::new(self.key.clone()));
         let hello = Hello {
             name: self.announcement.name.to_string(),
--- a/crates/hyssopdyked/src/settings/agent.rs
+++ b/crates/hyssopdyked/src/settings/agent.rs
@@ -55,10 +55,10 @@
             let value = peer_port.unwrap_or_default().to_string().into();
             section.fault("answer_port", Cause::Clash { value, other: "peer_port" });
         }
-        let packets = section.optional("packets", "one of tunneled, platform")?;
-        let answers = section.optional("answers", "a socket address")?;
-        let readiness = section.optional("readiness", "a socket address")?;
-        let reports = section.optional("reports", "a socket address")?;
+        let packets = section.optional("packets", "one of tunneled, platform");
+        let answers = section.optional("answers", "a socket address");
+        let readiness = section.optional("readiness", "a socket address");
+        let reports = section.optional("reports", "a socket address");
         let heartbeat = section.time("heartbeat", SECOND, (SECOND / 100, HOUR));
         let address = vm?.address;
         let answers_key = if answers.is_some() { "answers" } else { "answer_port" };
--- a/crates/hyssopdyked/src/settings/cluster.rs
+++ b/crates/hyssopdyked/src/settings/cluster.rs
@@ -23,7 +23,7 @@
         let mut control: Option<Vec<SocketAddr>> =
             section.list("control", "a list of socket addresses");
         // The addresses may be those of another port of the same VMs.
-        if let Some(port) = section.optional("session_port", "a port")? {
+        if let Some(port) = section.optional("session_port", "a port") {
             control.iter_mut().flatten().for_each(|address| address.set_port(port));
         }
         if role != Control::SECTION && control.as_ref().is_some_and(Vec::is_empty) {
--- a/crates/hyssopdyked/src/settings/control.rs
+++ b/crates/hyssopdyked/src/settings/control.rs
@@ -64,11 +64,11 @@
             Duration::from_secs(3),
             (Duration::from_millis(500), Duration::from_mins(1)),
         );
-        let api = section.optional("api", "a socket address")?;
-        let platform = section.optional("platform", "true or false")?;
+        let api = section.optional("api", "a socket address");
+        let platform = section.optional("platform", "true or false");
         let seeds = section.list("seeds", "a list of socket addresses");
         let tolerance = section.number("tolerance", 1, (0, 3));
-        let form = section.optional("form", "true or false")?;
+        let form = section.optional("form", "true or false");
         let address = vm?.address;
         let control = Self {
             data: data?.into(),
--- a/crates/hyssopdyked/src/settings/entry.rs
+++ b/crates/hyssopdyked/src/settings/entry.rs
@@ -35,11 +35,11 @@
             let value = peer_port.unwrap_or_default().to_string().into();
             section.fault("peer_port", Cause::Clash { value, other: "fabric_port" });
         }
-        let packets = section.optional("packets", "one of tunneled, platform")?;
-        let fabric = section.optional("fabric", "a socket address")?;
+        let packets = section.optional("packets", "one of tunneled, platform");
+        let fabric = section.optional("fabric", "a socket address");
         let (least, most) = (Duration::from_millis(100), Duration::from_hours(1));
         let grace = section.time("grace", Duration::from_secs(5), (least, most));
-        let readiness = section.optional("readiness", "a socket address")?;
+        let readiness = section.optional("readiness", "a socket address");
         let address = vm?.address;
         Some(Self {
             packets: packets.unwrap_or(PacketForm::Tunneled),
--- a/crates/hyssopdyked/src/settings/file.rs
+++ b/crates/hyssopdyked/src/settings/file.rs
@@ -114,16 +114,14 @@
         self.parsed(key, &text, expected)
     }
 
-    /// Value of a key that may be missing or empty.
+    /// Value of a key that may be missing or empty; a wrong one is noted as a fault.
     pub(crate) fn optional<T: FromStr>(
         &mut self,
         key: &'static str,
         expected: &'static str,
-    ) -> Option<Option<T>> {
-        match self.optional_text(key).filter(|text| !text.is_empty()) {
-            Some(text) => self.parsed(key, &text, expected).map(Some),
-            None => Some(None),
-        }
+    ) -> Option<T> {
+        let text = self.optional_text(key).filter(|text| !text.is_empty())?;
+        self.parsed(key, &text, expected)
     }
 
     /// Values of a key, separated by commas; none where the key is missing.
