--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -7,6 +7,7 @@
 //! `JobTracker`", which rebuilds a coordinator from its workers' status.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -19,6 +20,8 @@
 pub struct Offer {
     /// Member that is asked now; `None` while the flow waits for room.
     pub asked: Option<vm::Id>,
+    /// Entry that is told who owns the flow; `None` for none.
+    pub entry: Option<SocketAddr>,
     /// Service that the flow goes to.
     pub service: Box<str>,
     /// Members that declined since the last wait.
@@ -38,7 +41,8 @@
     #[must_use]
     pub const fn new(packet: Bytes, service: Box<str>, tries: usize, now: Instant) -> Self {
         let declined = Vec::new();
-        Self { asked: None, service, declined, tries, packet, since: now, sent: now }
+        let (asked, entry) = (None, None);
+        Self { asked, entry, service, declined, tries, packet, since: now, sent: now }
     }
 }
 
--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -16,6 +16,17 @@
     Failed,
 }
 
+/// How far the opening of a flow has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Handshake {
+    /// The upstream was asked.
+    Asked,
+    /// The upstream has answered.
+    Answered,
+    /// The caller has acknowledged the upstream's first packet.
+    Confirmed,
+}
+
 /// State of one flow at its owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct State {
@@ -33,7 +44,7 @@
     asked: Option<Instant>,
     /// The upstream has not been heard since the flow was adopted.
     pub(super) unverified: bool,
-    opened: bool,
+    handshake: Handshake,
     pub(super) slot: bool,
     pub(super) closed: Option<Instant>,
 }
@@ -53,7 +64,7 @@
             probes: 0,
             asked: None,
             unverified: false,
-            opened: false,
+            handshake: Handshake::Asked,
             slot,
             closed: None,
         }
@@ -62,7 +73,8 @@
     /// A flow that a former process of this agent admitted: it is open and its numbers unknown.
     #[must_use]
     pub fn adopted(isn: u32, now: Instant, slot: bool) -> Self {
-        Self { opened: true, unverified: true, ..Self::new(isn, now, slot) }
+        let handshake = Handshake::Confirmed;
+        Self { handshake, unverified: true, ..Self::new(isn, now, slot) }
     }
 
     /// Whether both ends have finished, or one has reset the connection.
@@ -77,10 +89,23 @@
         self.slot
     }
 
+    /// Whether a caller's packet may belong to the flow that this upstream has answered.
+    ///
+    /// A first packet that has reached several upstreams is answered by each, and the caller goes
+    /// on with the one whose sequence number it acknowledges.
+    #[must_use]
+    pub fn accepts(&self, segment: &Segment) -> bool {
+        let is_confirmed = self.handshake == Handshake::Confirmed;
+        match (is_confirmed, self.upstream.next, segment.acknowledgement) {
+            (false, Some(next), Some(number)) if !segment.syn => number == next,
+            _ => true,
+        }
+    }
+
     /// Whether the upstream has answered.
     #[must_use]
-    pub const fn is_open(&self) -> bool {
-        self.opened
+    pub fn is_open(&self) -> bool {
+        self.handshake != Handshake::Asked
     }
 
     pub(super) fn inbound(&mut self, segment: Option<&Segment>, now: Instant) {
@@ -95,6 +120,9 @@
         }
         self.caller.sent(segment);
         if let Some(number) = segment.acknowledgement {
+            if self.is_open() && !segment.syn {
+                self.handshake = Handshake::Confirmed;
+            }
             self.upstream.acknowledge(number);
         }
         self.close_finished(now);
@@ -104,7 +132,7 @@
     /// the upstream ignores any other and keeps the connection.
     fn reset_by_caller(&mut self, segment: &Segment, now: Instant) {
         let expected = [self.caller.next, self.caller.acknowledged];
-        if !self.opened || expected.contains(&Some(segment.sequence)) {
+        if !self.is_open() || expected.contains(&Some(segment.sequence)) {
             self.close(now);
         }
     }
@@ -114,7 +142,7 @@
         let was_unverified = std::mem::replace(&mut self.unverified, false);
         let age = now.duration_since(self.since);
         let Some(segment) = segment else {
-            self.opened = true;
+            self.open();
             return self.release_slot().then_some(Event::Answered(age));
         };
         if segment.rst {
@@ -132,7 +160,8 @@
             // The handshake is no part of the upstream's work.
             let asked = self.asked.unwrap_or(self.since);
             Some(Event::Answered(now.duration_since(asked)))
-        } else if segment.syn && !std::mem::replace(&mut self.opened, true) {
+        } else if segment.syn && !self.is_open() {
+            self.open();
             Some(Event::Opened(age))
         } else {
             None
@@ -141,6 +170,12 @@
         event
     }
 
+    fn open(&mut self) {
+        if !self.is_open() {
+            self.handshake = Handshake::Answered;
+        }
+    }
+
     fn release_slot(&mut self) -> bool {
         std::mem::replace(&mut self.slot, false)
     }
--- a/crates/hyssopdyke/src/request/packet.rs
+++ b/crates/hyssopdyke/src/request/packet.rs
@@ -64,6 +64,8 @@
     pub destination: SocketAddr,
     /// The TCP fields, or `None` for UDP.
     pub segment: Option<Segment>,
+    /// Copies of a flow's first packet that its caller has sent before, where the form tells.
+    pub copies: u32,
     /// The upstream gives the packet back: it has not taken it.
     pub is_returned: bool,
 }
@@ -100,6 +102,7 @@
             source: SocketAddr::new(source, ports.0),
             destination: SocketAddr::new(destination, ports.1),
             segment,
+            copies: 0,
             is_returned: false,
         })
     }
--- a/crates/hyssopdyke/src/version/group.rs
+++ b/crates/hyssopdyke/src/version/group.rs
@@ -1,7 +1,8 @@
 //! Services that share routes.
 //!
-//! The home of a flow must not move when the weights of its route change, so homes are chosen
-//! among the members of all services that are linked by routes, directly or through others.
+//! The home of a flow must not move when the weights of its route change, and flows stay with
+//! their upstreams when their route goes over to another service. So homes are chosen among the
+//! members of all services that are linked by routes, directly or through others, now or before.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,8 +28,11 @@
         }
         for route in store.list(Kind::Route) {
             let Some(Body::Route(route)) = &route.body else { continue };
-            for pair in route.splits.windows(2) {
-                groups.link(&pair[0].service, &pair[1].service);
+            let splits = route.splits.iter().map(|split| &split.service);
+            let mut services = splits.chain(&route.former);
+            let Some(first) = services.next() else { continue };
+            for service in services {
+                groups.link(first, service);
             }
         }
         groups
--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -50,8 +50,8 @@
     pub services: BTreeMap<Box<str>, Bounds>,
     /// Members in failure domains that are in, by id.
     pub members: Vec<Member>,
-    /// Ids of upstreams in failure domains that are out.
-    pub out: Vec<vm::Id>,
+    /// Upstreams in failure domains that are out, by id.
+    pub out: Vec<Member>,
 }
 
 impl Pool {
@@ -62,6 +62,12 @@
         self.members.get(index)
     }
 
+    /// The member on a VM, or the upstream there whose failure domain is out.
+    #[must_use]
+    pub fn known(&self, vm: vm::Id) -> Option<&Member> {
+        self.member(vm).or_else(|| self.out.iter().find(|member| member.vm == vm))
+    }
+
     /// The first and the second member for a flow.
     #[must_use]
     pub fn top(&self, flow: u64) -> (Option<vm::Id>, Option<vm::Id>) {
--- a/crates/hyssopdyke/src/version/registry.rs
+++ b/crates/hyssopdyke/src/version/registry.rs
@@ -9,7 +9,7 @@
 use hyssopdyke_wire::ledger::{
     Answer, Command, Configuration, Declare, Register, Snapshot, Unregister, Write, command,
 };
-use hyssopdyke_wire::resource::{Declaration, Kind, Resource, State, resource::Body};
+use hyssopdyke_wire::resource::{Declaration, Kind, Resource, Route, State, resource::Body};
 
 use super::store::{Key, kind};
 use super::{Groups, Store};
@@ -227,6 +227,10 @@
                 _ => revision,
             };
         }
+        if let (Some(Body::Route(route)), Some(Body::Route(former))) = (&mut resource.body, former)
+        {
+            route.former = former_services(route, former);
+        }
         if former == resource.body.as_ref() {
             return;
         }
@@ -327,6 +331,14 @@
     }
 }
 
+/// Services that a route has had, without those that it has now.
+fn former_services(route: &Route, former: &Route) -> Vec<String> {
+    let splits = former.splits.iter().map(|split| &split.service);
+    let had: BTreeSet<&String> = splits.chain(&former.former).collect();
+    let has = |service: &str| route.splits.iter().any(|split| split.service == service);
+    had.into_iter().filter(|service| !has(service)).cloned().collect()
+}
+
 fn outcome(answer: &Answer) -> Outcome {
     match (&answer.resource, answer.accepted) {
         (Some(resource), true) => Outcome::Written(resource.clone()),
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -133,6 +133,12 @@
         self.out.contains(domain)
     }
 
+    /// Whether any failure domain was taken out.
+    #[must_use]
+    pub fn has_out(&self) -> bool {
+        !self.out.is_empty()
+    }
+
     /// Whether the process with this identity is registered.
     #[must_use]
     pub fn is_registered(&self, boot: u64) -> bool {
@@ -184,7 +190,7 @@
             let domain_change = domain_changes.get(&member.domain).copied().unwrap_or(0);
             pool.epoch = pool.epoch.max(domain_change);
             if self.is_out(&member.domain) {
-                pool.out.push(member.vm);
+                pool.out.push(member);
             } else {
                 pool.members.push(member);
             }
--- a/crates/hyssopdyke/tests/version.rs
+++ b/crates/hyssopdyke/tests/version.rs
@@ -4,11 +4,12 @@
 
 use std::collections::BTreeMap;
 
-use hyssopdyke::version::{Outcome, Ranking, Registry, Replica, Store, View};
+use hyssopdyke::version::{Groups, Outcome, Ranking, Registry, Replica, Store, View};
 use hyssopdyke::vm;
-use hyssopdyke_wire::ledger::{Command, Register, Unregister, Write, command};
+use hyssopdyke_wire::ledger::{Command, Declare, Register, Unregister, Write, command};
 use hyssopdyke_wire::resource::{
-    Class, Domain, Kind, Listener, Protocol, Resource, Service, State, Upstream, resource::Body,
+    Class, Domain, Kind, Listener, Protocol, Resource, Route, Service, Split, State, Upstream,
+    resource::Body,
 };
 
 fn domain(name: &str, revision: u64, out: bool) -> Resource {
@@ -215,3 +216,65 @@
         assert!((850..1150).contains(count), "{counts:?}");
     }
 }
+
+/// A declaration of two services and one route that goes to the named ones.
+fn declare(version: u64, to: &[&str]) -> Command {
+    let service = |name: &str| Resource {
+        name: name.into(),
+        body: Some(Body::Service(Service { connections: 9, ..Service::default() })),
+        ..Resource::default()
+    };
+    let listener = Listener {
+        address: "198.18.0.1".into(),
+        port: 443,
+        protocol: Protocol::Tcp as i32,
+        class: Class::Stream as i32,
+    };
+    let splits = to.iter().map(|name| Split { service: (*name).into(), weight: 1 }).collect();
+    let route = Route { listener: Some(listener), splits, ..Route::default() };
+    let body = Some(Body::Route(route));
+    let route = Resource { name: "198.18.0.1:443".into(), body, ..Resource::default() };
+    let resources = vec![service("a"), service("b"), route];
+    let declare =
+        Declare { version, resources, document: version.to_string().into(), ..Declare::default() };
+    Command { body: Some(command::Body::Declare(declare)) }
+}
+
+#[test]
+fn declare_highestversionwins() {
+    let mut registry = Registry::new();
+    assert_eq!(registry.apply(declare(5, &["a"])), Outcome::Declared(5));
+    let revision = registry.store().revision();
+    // A repeat, other content under the same number, and a late older one change nothing.
+    for (version, to) in [(5, "a"), (5, "b"), (3, "b")] {
+        assert_eq!(registry.apply(declare(version, &[to])), Outcome::Declared(5));
+        assert_eq!(registry.store().revision(), revision);
+        assert_eq!(registry.declaration().unwrap(), (5, &"5".into()));
+    }
+    assert_eq!(registry.apply(declare(9, &["b"])), Outcome::Declared(9));
+    let restored = Registry::restore(registry.snapshot(1, 1));
+    assert_eq!(restored.declaration().unwrap(), (9, &"9".into()));
+}
+
+#[test]
+fn declare_routemovesservice() {
+    // Flows stay with their upstreams when their route goes over to another service, so both
+    // services' members must keep choosing homes together.
+    let mut registry = Registry::new();
+    registry.apply(declare(1, &["a"]));
+    assert_eq!(Groups::new(registry.store()).of("b"), Some("b"));
+    registry.apply(declare(2, &["b"]));
+    assert_eq!(Groups::new(registry.store()).of("b"), Some("a"));
+    let view = View::new(registry.store());
+    let route =
+        view.route("198.18.0.1:443".parse().unwrap(), hyssopdyke::connection::Protocol::Tcp);
+    let route = route.unwrap();
+    assert!(route.allows("b") && !route.allows("a"));
+    assert!(route.pool.services.contains_key("a"));
+    let epoch = route.pool.epoch;
+    assert_eq!(epoch, registry.store().revision(), "homes moved without a new epoch");
+    // Later changes of the weights alone move no home.
+    registry.apply(declare(3, &["b", "a"]));
+    let view = View::new(registry.store());
+    assert_eq!(view.pool("a").unwrap().epoch, epoch);
+}
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -7,11 +7,13 @@
 use bytes::Bytes;
 use hyssopdyke::connection::{self, Flow, Protocol, Record};
 use hyssopdyke::request::{Border, Packet};
+use hyssopdyke::version::Pool;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
 use slog::debug;
 
-use super::worker::Worker;
+use super::worker::{FLOW_AGE, Worker};
+use crate::node::decode_address;
 
 /// Members that are asked one after another before a flow waits for room.
 const TRIES: usize = 4;
@@ -42,7 +44,8 @@
                 } else if is_absent {
                     self.metrics.count("dropped.absent");
                 } else if packet.segment.is_some_and(|s| s.opens() && s.sequence != isn) {
-                    self.reoffer(flow, owner, forward.packet);
+                    let entry = decode_address(forward.entry_address, forward.entry_port);
+                    self.reoffer(flow, owner, forward.packet, entry);
                 } else {
                     self.hint(&forward, &flow, owner);
                     self.send(owner, Body::Forward(Forward { hops: 0, ..forward }));
@@ -65,10 +68,10 @@
             return self.hold(forward, from);
         }
         if opens {
-            self.place(flow, forward.packet);
-        } else if B::SETTLES_OPENING {
-            // Its owner may have restarted together with all who knew the flow. The upstream
-            // repeats what is not acknowledged, which shows who owns the flow.
+            let entry = decode_address(forward.entry_address, forward.entry_port);
+            self.place(flow, forward.packet, entry);
+        } else if !B::RESETS_OPEN && !self.are_flows_complete() {
+            // The flow may be open at an upstream whose agent has lost it.
             self.metrics.count("dropped.unknown_flow");
         } else {
             debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
@@ -77,13 +80,21 @@
         }
     }
 
+    /// Whether a flow that this home does not know is open at no upstream.
+    fn are_flows_complete(&self) -> bool {
+        let now = Instant::now();
+        let was_out = self.last_out.is_some_and(|last| now.duration_since(last) < FLOW_AGE);
+        let is_known = |pool: &Pool| self.peers.are_complete(pool);
+        !was_out && self.pool.as_deref().is_some_and(is_known)
+    }
+
     /// Starts to place a new flow.
-    fn place(&mut self, flow: Flow, packet: Bytes) {
+    fn place(&mut self, flow: Flow, packet: Bytes, entry: Option<SocketAddr>) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
         let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
         let offer = connection::Offer::new(packet, service, TRIES, Instant::now());
-        self.directory.offer(flow, offer);
+        self.directory.offer(flow, connection::Offer { entry, ..offer });
         self.metrics.count("placed");
         self.ask_next(flow);
     }
@@ -92,7 +103,7 @@
     pub(super) fn place_again(&mut self, flow: Flow, former: vm::Id, packet: Bytes) {
         self.directory.end(&flow, former, None);
         if self.directory.get(&flow).is_none() {
-            self.place(flow, packet);
+            self.place(flow, packet, None);
         }
         if let Some(offer) = self.directory.offer_mut(&flow)
             && !offer.declined.contains(&former)
@@ -103,13 +114,13 @@
 
     /// Offers a new flow between the ends of a former one to the former owner first, which knows
     /// whether the former one is over.
-    fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes) {
+    fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes, entry: Option<SocketAddr>) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
         let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
         let offer = connection::Offer::new(packet.clone(), service, TRIES, Instant::now());
-        self.directory.offer(flow, connection::Offer { asked: Some(owner), ..offer });
-        self.send_offer(owner, packet);
+        self.directory.offer(flow, connection::Offer { asked: Some(owner), entry, ..offer });
+        self.send_offer(owner, packet, entry);
     }
 
     /// Offers a flow to the next member, until one takes it or none is left.
@@ -122,12 +133,12 @@
             offer.tries = offer.tries.saturating_sub(1);
             offer.asked = chosen;
             offer.sent = Instant::now();
-            let packet = offer.packet.clone();
+            let (packet, entry) = (offer.packet.clone(), offer.entry);
             match chosen {
                 None => return self.wait_or_refuse(flow),
-                Some(vm) if vm != self.me => return self.send_offer(vm, packet),
+                Some(vm) if vm != self.me => return self.send_offer(vm, packet, entry),
                 Some(_) => {
-                    if self.admit_own(flow, &packet) {
+                    if self.admit_own(flow, &packet, entry) {
                         return;
                     }
                 }
@@ -136,13 +147,14 @@
     }
 
     /// Offers a flow to this agent's own upstream; true if it needs no other member.
-    fn admit_own(&mut self, flow: Flow, bytes: &Bytes) -> bool {
+    fn admit_own(&mut self, flow: Flow, bytes: &Bytes, entry: Option<SocketAddr>) -> bool {
         let Some((packet, route)) = self.checked(bytes) else {
             self.directory.remove(&flow);
             return true;
         };
         let is_admitted = self.admit(self.me, flow, &packet, &route, bytes).is_ok();
         if is_admitted {
+            self.tell_entry(&flow, entry);
             self.directory.remove(&flow);
         } else if let Some(offer) = self.directory.offer_mut(&flow) {
             offer.declined.push(self.me);
@@ -245,9 +257,13 @@
         let is_present = self.pool.as_ref().is_some_and(|pool| pool.member(vm).is_some());
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         offer.sent = Instant::now();
-        if is_present {
-            let packet = offer.packet.clone();
-            self.send_offer(vm, packet);
+        if B::SETTLES_OPENING {
+            offer.declined.push(vm);
+            self.peers.suspect(vm);
+            self.ask_next(flow);
+        } else if is_present {
+            let (packet, entry) = (offer.packet.clone(), offer.entry);
+            self.send_offer(vm, packet, entry);
         } else if flow.protocol == Protocol::Tcp {
             offer.declined.push(vm);
             self.ask_next(flow);
@@ -301,10 +317,10 @@
         offer.tries = 1;
         offer.sent = Instant::now();
         offer.asked = Some(vm);
-        let packet = offer.packet.clone();
+        let (packet, entry) = (offer.packet.clone(), offer.entry);
         if vm != self.me {
-            self.send_offer(vm, packet);
-        } else if !self.admit_own(flow, &packet)
+            self.send_offer(vm, packet, entry);
+        } else if !self.admit_own(flow, &packet, entry)
             && let Some(offer) = self.directory.offer_mut(&flow)
         {
             offer.asked = None;
@@ -314,7 +330,7 @@
     /// Marks the owners that are not members as absent.
     pub(super) fn mark_absent(&mut self) {
         if let Some(pool) = self.pool.clone() {
-            let is_present = |vm| pool.member(vm).is_some();
+            let is_present = |vm| pool.known(vm).is_some();
             self.directory.mark_absent(Instant::now(), is_present);
         }
     }
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -13,6 +13,7 @@
 
 use super::home::WAIT;
 use super::worker::Worker;
+use crate::node::decode_address;
 
 /// Time for which a closed flow is remembered, so that its last packets find the upstream.
 const LINGER: Duration = Duration::from_secs(5);
@@ -20,6 +21,10 @@
 /// Time in which an upstream must take a connection.
 const OPENING: Duration = Duration::from_secs(1);
 
+/// Time in which an upstream on the same VM must answer a first packet: less than callers wait
+/// before they repeat it, so that the copy goes elsewhere.
+const ANSWERING: Duration = Duration::from_millis(120);
+
 /// Declined flows that may wait for room at a time.
 const WAITERS: usize = 256;
 
@@ -35,6 +40,9 @@
         let Some(connection) = self.table.get(flow) else {
             return false;
         };
+        if packet.segment.is_some_and(|segment| !connection.accepts(&segment)) {
+            return false;
+        }
         // A new connection between the ends of a closed one is placed anew.
         let reopens = packet
             .segment
@@ -59,7 +67,11 @@
         };
         let flow = packet.inbound();
         let answer = match self.admit(home, flow, &packet, &route, &offer.packet) {
-            Ok(()) => Body::Accepted(Accepted { flow: Some(flow.into()) }),
+            Ok(()) => {
+                let entry = decode_address(offer.entry_address, offer.entry_port);
+                self.tell_entry(&flow, entry);
+                Body::Accepted(Accepted { flow: Some(flow.into()) })
+            }
             Err(reason) => {
                 let (flow, reason) = (Some(flow.into()), reason as i32);
                 Body::Declined(Declined { flow, reason, packet: Bytes::new() })
@@ -68,6 +80,40 @@
         self.send_to(from, answer);
     }
 
+    /// Notes that the upstream has sent something.
+    pub(super) fn hear_upstream(&mut self, now: Instant) {
+        self.upstream_heard = Some(now);
+        if std::mem::take(&mut self.is_upstream_silent) {
+            info!(self.events.logger(), "upstream answers again");
+            self.exchange_loads(now);
+        }
+    }
+
+    /// Spares an upstream that has sent nothing since it was asked to take a flow.
+    pub(super) fn look_after_opening(&mut self, now: Instant) {
+        while let Some((since, flow)) = self.opening.front().copied() {
+            if now.duration_since(since) < ANSWERING {
+                return;
+            }
+            self.opening.pop_front();
+            let is_taken = self.table.get(&flow).is_none_or(connection::State::is_open);
+            let is_heard = self.upstream_heard.is_some_and(|heard| heard > since);
+            if !is_taken && !is_heard && !self.is_upstream_silent {
+                warn!(self.events.logger(), "upstream does not answer"; "flow" => %flow);
+                self.is_upstream_silent = true;
+                self.exchange_loads(now);
+            }
+        }
+    }
+
+    /// Tells an entry that this agent owns a flow.
+    pub(super) fn tell_entry(&mut self, flow: &Flow, entry: Option<SocketAddr>) {
+        if let Some(entry) = entry {
+            let (flow, vm) = (Some((*flow).into()), self.me);
+            self.send_to(entry, Body::Owner(Owner { flow, vm }));
+        }
+    }
+
     /// Takes a flow that `home` offers and delivers its first packet, or says why not.
     ///
     /// A declined flow has had no packet delivered, so it may be placed elsewhere.
@@ -97,6 +143,7 @@
             "connections" => self.table.connections(), "slots" => self.table.slots());
         self.metrics.count("admitted");
         self.note_opened(&flow, home, isn);
+        self.opening.push_back((now, flow));
         self.deliver(&flow, packet, bytes);
         Ok(())
     }
@@ -105,7 +152,9 @@
         let now = Instant::now();
         let hash = self.hash(flow);
         let pool = self.pool.as_ref().ok_or(Reason::Inactive)?;
-        if pool.top(hash).0 != Some(home) {
+        let (first, second) = pool.top(hash);
+        let may_place = first == Some(home) || (B::SETTLES_OPENING && second == Some(home));
+        if !may_place {
             return Err(Reason::NotHome);
         }
         let is_drained = pool.member(self.me).is_none_or(|member| member.draining);
@@ -268,13 +317,12 @@
         }
     }
 
-    /// Gives all flows up, as the agent's failure domain was taken out: at once where callers can
-    /// be told, and otherwise after the time that is left to them.
+    /// Gives all flows up, as the agent's failure domain was taken out, if their callers can be
+    /// told; otherwise they are served until they end.
     pub(super) fn taken_out(&mut self) {
         let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
         info!(self.events.logger(), "failure domain is out"; "flows" => flows.len());
         if !B::RESETS_OPEN {
-            self.out_since = Some(Instant::now());
             return;
         }
         // An agent that learns of it late, after its lease, leaves its upstream alone; callers
@@ -300,15 +348,6 @@
         self.limit.cool(Instant::now());
     }
 
-    /// Forgets all flows without a word to their ends.
-    pub(super) fn forget_all(&mut self) {
-        if !self.table.is_empty() {
-            info!(self.events.logger(), "flows given up"; "flows" => self.table.len());
-            self.table = connection::Table::new();
-            self.limit.cool(Instant::now());
-        }
-    }
-
     /// Closes what is over, probes what is silent, and gives up what does not answer.
     pub(super) fn sweep_flows(&mut self, now: Instant) {
         for flow in self.table.expired(now, LINGER, self.settings.datagram_idle) {
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -1,6 +1,6 @@
 //! What an agent knows of the other members of its service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use hyssopdyke::request::Candidate;
@@ -13,13 +13,17 @@
 pub(super) struct Peers {
     ids: HashMap<SocketAddr, vm::Id>,
     loads: HashMap<vm::Id, Load>,
+    /// Members that have not answered an offer and were not heard since.
+    suspects: HashSet<vm::Id>,
 }
 
 impl Peers {
     /// Follows a change of members.
     pub(super) fn follow(&mut self, pool: &Pool) {
-        self.ids = pool.members.iter().map(|member| (member.address, member.vm)).collect();
+        let known = pool.members.iter().chain(&pool.out);
+        self.ids = known.map(|member| (member.address, member.vm)).collect();
         self.loads.retain(|vm, _| pool.member(*vm).is_some());
+        self.suspects.retain(|vm| pool.member(*vm).is_some());
     }
 
     /// The member at an address.
@@ -27,6 +31,26 @@
         self.ids.get(&address).copied()
     }
 
+    /// Notes that a member has not answered an offer.
+    pub(super) fn suspect(&mut self, vm: vm::Id) {
+        self.suspects.insert(vm);
+    }
+
+    /// Notes that a member was heard.
+    pub(super) fn heard(&mut self, address: SocketAddr) {
+        if !self.suspects.is_empty()
+            && let Some(vm) = self.id(address)
+        {
+            self.suspects.remove(&vm);
+        }
+    }
+
+    /// Whether each of the members is known to hold no flow that it does not know itself.
+    pub(super) fn are_complete(&self, pool: &Pool) -> bool {
+        let is_complete = |vm| self.loads.get(&vm).is_some_and(|load| !load.incomplete);
+        pool.members.iter().all(|member| is_complete(member.vm))
+    }
+
     /// Notes a member's load.
     pub(super) fn note(&mut self, vm: vm::Id, load: Load) {
         self.loads.insert(vm, load);
@@ -43,14 +67,17 @@
     ) -> Vec<Candidate> {
         let takes_ejected = self.takes_ejected(pool, service);
         let active = self.active(pool, service);
-        active
+        let candidates: Vec<Candidate> = active
             .filter(|member| takes_ejected || !self.is_ejected(member.vm))
             .filter(|member| !declined.contains(&member.vm))
             .map(|member| Candidate {
                 vm: member.vm,
                 weight: self.loads.get(&member.vm).map_or(0, |load| load.weight),
             })
-            .collect()
+            .collect();
+        let is_heard = |candidate: &&Candidate| !self.suspects.contains(&candidate.vm);
+        let heard: Vec<Candidate> = candidates.iter().filter(is_heard).copied().collect();
+        if heard.is_empty() { candidates } else { heard }
     }
 
     /// Whether so many members are ejected that these must serve as well.
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -6,7 +6,7 @@
 use hyssopdyke::connection::{self, Flow};
 use hyssopdyke::process::Barrier;
 use hyssopdyke::request::Border;
-use hyssopdyke::version::Pool;
+use hyssopdyke::version::{Member, Pool};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Record, Report, Reported, Stage, datagram::Body};
 use slog::{debug, info};
@@ -44,11 +44,12 @@
         self.outbox.retain(|_, _| false);
         self.increments.clear();
         self.mark_absent();
-        self.directory.retain(|_, record| {
-            !matches!(record, connection::Record::Owned { owner, .. } if pool.out.contains(owner))
-        });
+        if B::RESETS_OPEN {
+            self.directory.retain(|_, record| !is_owned_by(record, &pool.out));
+        }
         if !self.is_member {
-            return;
+            // Homes have moved for the flows that are served on for a while, too.
+            return self.report_own(pool);
         }
         let me = self.me;
         for member in pool.members.iter().filter(|member| member.vm != me) {
@@ -202,7 +203,8 @@
 
     /// Sends the reports that are due.
     pub(super) fn send_reports(&mut self) {
-        let Some(pool) = self.pool.clone().filter(|_| self.is_member) else {
+        let is_known = self.is_member || self.is_out;
+        let Some(pool) = self.pool.clone().filter(|_| is_known) else {
             return;
         };
         let now = Instant::now();
@@ -251,13 +253,13 @@
         if record.owner == self.me {
             return self.adopt(flow, record.isn);
         }
-        if pool.out.contains(&record.owner) {
+        if B::RESETS_OPEN && pool.out.iter().any(|member| member.vm == record.owner) {
             return;
         }
         self.owned(flow, record.owner, record.isn);
-        // A farewell brings records that are not this agent's to keep for long.
-        self.must_prune |= !pool.is_holder(self.hash(&flow), record.owner, self.me);
-        if pool.member(record.owner).is_none() {
+        // What a farewell brings besides is kept until the members have changed: the owner, and
+        // who would keep the record, may be about to stop.
+        if pool.known(record.owner).is_none() {
             self.mark_absent();
         }
     }
@@ -304,6 +306,12 @@
     }
 }
 
+/// Whether a record's owner is one of some members.
+fn is_owned_by(record: &connection::Record, members: &[Member]) -> bool {
+    matches!(record, connection::Record::Owned { owner, .. }
+        if members.iter().any(|member| member.vm == *owner))
+}
+
 /// The record of a flow, as it is sent.
 fn message(flow: &Flow, isn: u32, owner: vm::Id) -> Record {
     Record { flow: Some((*flow).into()), isn, owner }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -1,9 +1,9 @@
 //! The agent's task: takes packets and messages one at a time and keeps all tables.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
 use eyre::Result;
@@ -26,7 +26,7 @@
 use super::peers::Peers;
 use crate::log::Events;
 use crate::metrics::Metrics;
-use crate::node::{Link, Membership, Session, Tunnel};
+use crate::node::{Link, Membership, Session, Tunnel, decode_address, encode_address};
 use crate::settings::{Agent, Common};
 
 /// Datagrams that are taken from a socket before the other ones are looked at.
@@ -41,8 +41,8 @@
 /// Time for the last reports before a graceful stop.
 const FAREWELL: Duration = Duration::from_secs(1);
 
-/// Part of the time within which a failure domain must be out that is left for the news to travel.
-const OUT_MARGIN: Duration = Duration::from_secs(1);
+/// Age after which a flow is over, also where neither end has said so.
+pub(super) const FLOW_AGE: Duration = Duration::from_mins(1);
 
 /// Packets that may wait for the reports of other members.
 const HELD_PACKETS: usize = 512;
@@ -76,6 +76,8 @@
     pub(super) border: B,
     pub(super) me: vm::Id,
     pub(super) boot: u64,
+    /// Start of the process, as an instant and in milliseconds of Unix time.
+    started: (Instant, u64),
     pub(super) domain: Box<str>,
     pub(super) settings: Agent,
     pub(super) link: Link,
@@ -93,8 +95,10 @@
     pub(super) pool: Option<Arc<Pool>>,
     /// The agent is one of the members.
     pub(super) is_member: bool,
-    /// Since when the failure domain is out.
-    pub(super) out_since: Option<Instant>,
+    /// The failure domain is out, and the flows of before are served on.
+    pub(super) is_out: bool,
+    /// When a failure domain was last known to be out.
+    pub(super) last_out: Option<Instant>,
     /// The process is about to stop and takes no new flows.
     pub(super) is_leaving: bool,
     /// Records that are not this agent's to keep may be in the directory.
@@ -103,6 +107,12 @@
     pub(super) is_fresh: bool,
     pub(super) peers: Peers,
     pub(super) table: Table,
+    /// Flows that the upstream was asked to take, oldest first.
+    pub(super) opening: VecDeque<(Instant, Flow)>,
+    /// When the upstream last sent anything.
+    pub(super) upstream_heard: Option<Instant>,
+    /// The upstream does not answer.
+    pub(super) is_upstream_silent: bool,
     pub(super) directory: Directory,
     /// Members that have reported their records of others' flows.
     pub(super) records_barrier: Barrier,
@@ -137,6 +147,7 @@
             ready: watch::Sender::new(false),
             me: vm::id(&common.vm.name),
             boot,
+            started: (Instant::now(), unix_millis()),
             domain: common.vm.domain.clone(),
             settings,
             keys: link.flow_keys(),
@@ -147,12 +158,16 @@
             events,
             pool: None,
             is_member: false,
-            out_since: None,
+            is_out: false,
+            last_out: None,
             is_leaving: false,
             must_prune: false,
             is_fresh: true,
             peers: Peers::default(),
             table: Table::new(),
+            opening: VecDeque::new(),
+            upstream_heard: None,
+            is_upstream_silent: false,
             directory: Directory::new(),
             records_barrier: Barrier::new(),
             own_barrier: Barrier::new(),
@@ -222,25 +237,19 @@
         self.is_member && self.membership.may_act(now)
     }
 
-    /// Whether flows that the agent owns may be served now: for a while also after its failure
-    /// domain was taken out, where their callers cannot be told that they are given up.
+    /// Whether flows that the agent owns may be served now: also after its failure domain was
+    /// taken out, where their callers cannot be told that they are given up.
     pub(super) fn may_serve_own(&self, now: Instant) -> bool {
-        let is_finishing = self.out_since.is_some_and(|since| now < since + self.out_grace());
-        (self.is_member || is_finishing) && self.membership.may_act(now)
-    }
-
-    /// Time for which flows are served on in a failure domain that is out.
-    fn out_grace(&self) -> Duration {
-        self.settings.out_within.saturating_sub(OUT_MARGIN)
+        (self.is_member || self.is_out) && self.membership.may_act(now)
     }
 
     pub(super) fn hash(&self, flow: &Flow) -> u64 {
         flow.hash(self.keys)
     }
 
-    /// Sends a message to a member; lost if the member is gone.
+    /// Sends a message to a member, or to one whose failure domain is out; lost if it is gone.
     pub(super) fn send(&mut self, to: vm::Id, body: Body) {
-        let address = self.pool.as_ref().and_then(|pool| pool.member(to)).map(|to| to.address);
+        let address = self.pool.as_ref().and_then(|pool| pool.known(to)).map(|to| to.address);
         if let Some(address) = address {
             self.send_to(address, body);
         }
@@ -285,6 +294,7 @@
                 break;
             };
             if from == self.settings.upstream {
+                self.hear_upstream(Instant::now());
                 self.answered(&packet);
             } else {
                 self.metrics.count("rejected");
@@ -295,6 +305,7 @@
 
     fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let revision = datagram.revision;
+        self.peers.heard(from);
         self.membership.follow(&mut self.link, from, revision);
         match datagram.body {
             Some(Body::Forward(forward)) => self.forwarded(forward, from),
@@ -348,8 +359,9 @@
         // upstream: its packets must not be taken for late ones of the closed flow.
         self.forget(&flow);
         let hash = self.hash(&flow);
-        let home = self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm);
-        if home == Some(self.me) {
+        let (home, second) = self.pool.as_ref().map_or((None, None), |pool| pool.top(hash));
+        let acts_as_home = forward.second && second == Some(self.me);
+        if home == Some(self.me) || acts_as_home {
             self.home(flow, &packet, forward, from);
         } else if let (Some(home), Some(hops)) = (home, forward.hops.checked_sub(1)) {
             self.hint(&forward, &flow, 0);
@@ -383,7 +395,8 @@
 
     /// Whether new flows may go to the upstream.
     pub(super) fn is_serving(&self, now: Instant) -> bool {
-        self.settings.reports.is_none() || self.upstream.is_serving(now)
+        let is_reported = self.settings.reports.is_none() || self.upstream.is_serving(now);
+        is_reported && !self.is_upstream_silent
     }
 
     /// Tells whether the agent can serve.
@@ -393,18 +406,25 @@
 
     /// Tells the entry that took the packet who owns its flow; 0 for nobody it should remember.
     pub(super) fn hint(&mut self, forward: &Forward, flow: &Flow, vm: vm::Id) {
-        let Ok(port) = u16::try_from(forward.entry_port) else {
-            return;
-        };
-        if port != 0 {
-            let entry = SocketAddr::from((Ipv4Addr::from(forward.entry_address), port));
+        if let Some(entry) = decode_address(forward.entry_address, forward.entry_port) {
             self.send_to(entry, Body::Owner(Owner { flow: Some((*flow).into()), vm }));
         }
     }
 
     /// Asks a member to take a flow.
-    pub(super) fn send_offer(&mut self, to: vm::Id, packet: Bytes) {
-        self.send(to, Body::Offer(Offer { packet }));
+    pub(super) fn send_offer(&mut self, to: vm::Id, packet: Bytes, entry: Option<SocketAddr>) {
+        let (entry_address, entry_port) = entry.map_or((0, 0), encode_address);
+        self.send(to, Body::Offer(Offer { packet, entry_address, entry_port }));
+    }
+
+    /// Whether the upstream may hold flows that this process does not know: it has run before the
+    /// process has, and not all of its flows of that time are over.
+    pub(super) fn is_incomplete(&self, now: Instant) -> bool {
+        let is_older = match self.upstream.last() {
+            Some(report) => report.started < self.started.1,
+            None => true,
+        };
+        is_older && now.duration_since(self.started.0) < FLOW_AGE
     }
 
     /// Notes a packet that waits for the reports of other members.
@@ -424,11 +444,13 @@
         self.is_member = self.pool.as_ref().is_some_and(|pool| {
             pool.member(self.me).is_some_and(|member| member.boot == self.boot)
         });
-        let is_out = view.is_out(&self.domain);
-        if was_member && is_out {
+        self.is_out = !B::RESETS_OPEN && view.is_out(&self.domain);
+        if was_member && view.is_out(&self.domain) {
             self.taken_out();
         }
-        self.out_since = self.out_since.filter(|_| is_out);
+        if view.has_out() {
+            self.last_out = Some(Instant::now());
+        }
         let Some(pool) = self.pool.clone() else {
             return;
         };
@@ -442,6 +464,7 @@
     }
 
     fn tick(&mut self) {
+        self.look_after_opening(Instant::now());
         self.flush_increments();
         self.send_reports();
         self.prune();
@@ -452,13 +475,13 @@
 
     fn sweep(&mut self) {
         let now = Instant::now();
+        if self.membership.view().has_out() {
+            self.last_out = Some(now);
+        }
         self.exchange_loads(now);
-        if self.may_act(now) {
+        if self.may_serve_own(now) {
             self.sweep_flows(now);
         }
-        if self.out_since.is_some_and(|since| now >= since + self.out_grace()) {
-            self.forget_all();
-        }
         self.sweep_records(now);
         self.metrics.gauge("connections", self.table.connections().into());
         self.metrics.gauge("slots", self.table.slots().into());
@@ -484,6 +507,7 @@
     /// Takes in a report of the upstream; it counts before it is acknowledged.
     fn reported_by_upstream(&mut self, (report, acknowledge): Delivery) {
         let now = Instant::now();
+        self.hear_upstream(now);
         let phase = report.phase;
         let change = self.upstream.report(report, now);
         match change {
@@ -534,6 +558,7 @@
             room,
             ejected: self.limit.is_ejected(now),
             closed: self.is_leaving || !self.is_serving(now),
+            incomplete: self.is_incomplete(now),
         }
     }
 
@@ -546,3 +571,9 @@
         }
     }
 }
+
+/// Milliseconds of Unix time; 0 before its beginning.
+fn unix_millis() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
--- a/crates/hyssopdyked/src/control/consensus/election.rs
+++ b/crates/hyssopdyked/src/control/consensus/election.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use slog::{info, warn};
 
-use super::{Consensus, ELECTION, HEARTBEAT, QUORUM, Role};
+use super::{Consensus, ELECTION, QUORUM, Role};
 use crate::control::handle::{Error, Leadership};
 
 impl Consensus {
@@ -18,24 +18,20 @@
     }
 
     pub(super) fn expire(&mut self) -> Result<(), JournalError> {
-        match &self.role {
-            Role::Leader { rounds, .. } => {
-                let oldest = rounds.first_key_value().map(|(_, sent)| *sent);
-                if oldest.is_some_and(|sent| sent.elapsed() > QUORUM) {
-                    warn!(self.events.logger(), "majority lost");
-                    self.step_down(None);
-                    return Ok(());
-                }
-                let last_look = self.deadline - HEARTBEAT;
-                self.broadcast();
-                self.look_after_members(last_look);
-                Ok(())
-            }
-            _ => {
-                self.ask_to_join();
-                self.campaign(true, false)
-            }
+        let Role::Leader { rounds, .. } = &self.role else {
+            self.ask_to_join();
+            return self.campaign(true, false);
+        };
+        let oldest = rounds.first_key_value().map(|(_, sent)| *sent);
+        if oldest.is_some_and(|sent| sent.elapsed() > QUORUM) {
+            warn!(self.events.logger(), "majority lost");
+            self.step_down(None);
+            return Ok(());
         }
+        let lateness = self.deadline.elapsed();
+        self.broadcast();
+        self.look_after_members(lateness);
+        Ok(())
     }
 
     /// Asks for votes; a trial changes no term, so that a VM that was cut off does not disturb
--- a/crates/hyssopdyked/src/control/consensus/join.rs
+++ b/crates/hyssopdyked/src/control/consensus/join.rs
@@ -13,7 +13,7 @@
 use hyssopdyke_wire::ledger::{Handover, Join, Message, Voter, message::Body};
 use slog::info;
 
-use super::{Consensus, Follower, HEARTBEAT, Reply, Role};
+use super::{Consensus, HEARTBEAT, Reply, Role};
 use crate::control::handle::Error;
 use crate::reload;
 
@@ -134,14 +134,16 @@
     }
 
     /// Forgets VMs without a vote that are gone, and looks whether votes must change.
-    pub(super) fn look_after_members(&mut self, last_look: Instant) {
+    ///
+    /// `lateness` tells by how much this look comes too late.
+    pub(super) fn look_after_members(&mut self, lateness: Duration) {
         let configuration = &self.configuration;
         let Role::Leader { followers, .. } = &mut self.role else { return };
-        if last_look.elapsed() > FREEZE {
+        if lateness > FREEZE {
             // What the others sent meanwhile is still to be taken.
-            followers
-                .values_mut()
-                .for_each(|follower: &mut Follower| follower.heard = Instant::now());
+            for follower in followers.values_mut() {
+                follower.heard = Instant::now();
+            }
         }
         followers.retain(|name, follower| {
             let is_voter = configuration.voters.iter().any(|voter| voter.name == **name);
@@ -172,11 +174,7 @@
     }
 
     /// Leads in place of a leader that stops.
-    pub(super) fn take_over(
-        &mut self,
-        from: &str,
-        handover: &Handover,
-    ) -> Result<(), JournalError> {
+    pub(super) fn take_over(&mut self, from: &str, handover: Handover) -> Result<(), JournalError> {
         let is_current =
             handover.term == self.journal.vote().term && self.leader.as_deref() == Some(from);
         if is_current { self.campaign(false, true) } else { Ok(()) }
--- a/crates/hyssopdyked/src/control/consensus/mod.rs
+++ b/crates/hyssopdyked/src/control/consensus/mod.rs
@@ -82,6 +82,15 @@
 
 type Reply<T> = oneshot::Sender<Result<T, Error>>;
 
+/// The control VM of this process, as the others know it.
+pub(super) struct Local {
+    pub(super) name: Box<str>,
+    /// Identity of the data folder.
+    pub(super) identity: u64,
+    /// Where it takes messages.
+    pub(super) address: SocketAddr,
+}
+
 /// The task that owns the log.
 pub(super) struct Consensus {
     name: Box<str>,
@@ -117,15 +126,14 @@
 impl Consensus {
     /// Opens the log over a journal.
     pub(super) fn open(
-        name: Box<str>,
-        identity: u64,
-        address: SocketAddr,
+        local: Local,
         journal: Journal<Folder>,
         members: Members,
         outgoing: Outgoing,
         metrics: Metrics,
         events: Events,
     ) -> (Handle, Self) {
+        let Local { name, identity, address } = local;
         let registry = Registry::restore(journal.snapshot().clone());
         let (sender, inbox) = mpsc::channel(QUEUE);
         let (revision, revisions) = watch::channel(registry.store().revision());
@@ -268,7 +276,7 @@
                 self.joined(&from, &join);
                 Ok(())
             }
-            Some(Body::Handover(handover)) => self.take_over(&from, &handover),
+            Some(Body::Handover(handover)) => self.take_over(&from, handover),
             None => Ok(()),
         }
     }
--- a/crates/hyssopdyked/src/control/leases.rs
+++ b/crates/hyssopdyked/src/control/leases.rs
@@ -22,6 +22,10 @@
 /// What is added to a lease before it counts as ended, for the leader's own validity.
 const MARGIN: Duration = Duration::from_millis(100);
 
+/// Time that a new leader adds to a lease, in which daemons find it: they wait for an answer of
+/// the former leader, and try one control VM after another.
+const TAKEOVER: Duration = Duration::from_millis(1500);
+
 /// A daemon by kind and name.
 type Key = (Kind, Box<str>);
 
@@ -34,6 +38,9 @@
     at: Instant,
 }
 
+/// Up to this number of daemons all of them may well be gone.
+const FEW: usize = 4;
+
 /// Renewals of all daemons that this leader has heard.
 pub(super) struct Leases {
     length: Duration,
@@ -79,13 +86,25 @@
     /// Daemons whose lease has ended, not counting time before `since`.
     fn ended(&self, store: &Store, since: Instant, now: Instant) -> Vec<Unregister> {
         let renewals = self.lock();
-        let ended = registered(store).filter(|(kind, name, boot)| {
-            let renewal = renewals.get(&(*kind, name.clone()));
-            let heard = renewal.filter(|renewal| renewal.boot == *boot).map(|renewal| renewal.at);
+        let since = since + TAKEOVER;
+        let (mut ended, mut held) = (Vec::new(), 0);
+        for (kind, name, boot) in registered(store) {
+            let renewal = renewals.get(&(kind, name.clone()));
+            let heard = renewal.filter(|renewal| renewal.boot == boot).map(|renewal| renewal.at);
             let start = heard.map_or(since, |heard| heard.max(since));
-            now.saturating_duration_since(start) > self.length + MARGIN
-        });
+            if now.saturating_duration_since(start) > self.length + MARGIN {
+                ended.push((kind, name, boot));
+            } else {
+                held += 1;
+            }
+        }
+        // Where most are silent at once it is more likely that this VM is not heard: daemons that
+        // serve must not be struck off for that, and those that are gone are found out by others.
+        if ended.len() > held && held + ended.len() > FEW {
+            return Vec::new();
+        }
         ended
+            .into_iter()
             .map(|(kind, name, boot)| Unregister { kind: kind as i32, name: name.into(), boot })
             .collect()
     }
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -34,7 +34,7 @@
 use crate::reload;
 use crate::settings::{self, Control, Settings, Vm};
 use crate::stop::Stop;
-use consensus::{Consensus, Members};
+use consensus::{Consensus, Local, Members};
 use handle::Handle;
 use identity::Identity;
 use leases::Leases;
@@ -75,23 +75,15 @@
 
     let metrics = Metrics::open("control", &common)?;
     let address = replicas.local_addr()?;
-    let name = voter_name(&role, &common.vm);
+    let local = Local { name: voter_name(&role, &common.vm), identity, address };
     let members = Members {
         seeds,
         port: address.port(),
         votes: (!role.seeds.is_empty()).then_some(2 * role.tolerance + 1),
     };
     let outgoing = replica::Outgoing::new(key.clone());
-    let (handle, consensus) = Consensus::open(
-        name,
-        identity,
-        address,
-        journal,
-        members,
-        outgoing,
-        metrics,
-        events.clone(),
-    );
+    let (handle, consensus) =
+        Consensus::open(local, journal, members, outgoing, metrics, events.clone());
     let leases = Arc::new(Leases::new(role.lease));
     let mut router = api::router(handle.clone(), Arc::clone(&leases));
     if role.platform {
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -1,6 +1,7 @@
 //! The forwarding of packets.
 
-use std::net::{IpAddr, SocketAddr};
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,15 +10,16 @@
 use hyssopdyke::connection::{Cache, Flow};
 use hyssopdyke::request::Border;
 use hyssopdyke::version::{Member, Pool, Route};
+use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Datagram, Forward, Owner, datagram::Body};
 use hyssopdyke_wire::resource::Usage;
-use slog::warn;
+use slog::{debug, warn};
 use tokio::sync::watch;
 use tokio::time::{Interval, interval, sleep_until};
 
 use crate::log::Events;
 use crate::metrics::Metrics;
-use crate::node::{Link, Membership, Session, Tunnel};
+use crate::node::{Link, Membership, Session, Tunnel, encode_address};
 
 /// Forwards that may follow the entry's own: from the owner it remembered to the home, and on to
 /// the owner that the home knows.
@@ -29,6 +31,10 @@
 /// Time between two flushes of the metrics, and two questions to peers.
 const TICK: Duration = Duration::from_secs(1);
 
+/// Time for which a home that has not answered a caller is spared: about the time between two
+/// exchanges of loads, by which the agents themselves find out who is gone.
+const SUSPICION: Duration = Duration::from_secs(1);
+
 /// Time without packets after which the fabric is taken to send no more: longer than callers'
 /// first repetitions, shorter than the grace time of a stop.
 const QUIET: Duration = Duration::from_secs(1);
@@ -41,6 +47,8 @@
     membership: Membership,
     metrics: Metrics,
     cache: Cache,
+    /// Homes that have not answered a caller, and until when they are spared.
+    suspects: HashMap<vm::Id, Instant>,
     keys: (u64, u64),
     address: SocketAddr,
     events: Events,
@@ -72,6 +80,7 @@
             membership,
             metrics,
             cache,
+            suspects: HashMap::new(),
             keys,
             address,
             events,
@@ -157,11 +166,12 @@
         let Some(route) = view.route(flow.service, flow.protocol) else {
             return self.metrics.count("dropped.unknown_service");
         };
-        let Some(target) = self.target(route, &flow) else {
+        let opens = packet.segment.is_none_or(|segment| segment.opens());
+        let Some((target, second)) = self.target(route, &flow, opens, packet.copies) else {
             return self.metrics.count("dropped.no_member");
         };
         let (entry_address, entry_port) = encode_address(self.address);
-        let forward = Forward { packet: bytes, hops: HOPS, entry_address, entry_port };
+        let forward = Forward { packet: bytes, hops: HOPS, entry_address, entry_port, second };
         let message = self.membership.message(Body::Forward(forward));
         self.metrics.count("forwarded");
         if !self.link.send(&message, target.address) {
@@ -169,11 +179,33 @@
         }
     }
 
-    fn target<'a>(&mut self, route: &'a Route, flow: &Flow) -> Option<&'a Member> {
+    /// The member that a packet goes to, and whether it is asked as the second-ranked one.
+    fn target<'a>(
+        &mut self,
+        route: &'a Route,
+        flow: &Flow,
+        opens: bool,
+        copies: u32,
+    ) -> Option<(&'a Member, bool)> {
         let pool: &Pool = &route.pool;
         let hash = flow.hash(self.keys);
-        let owner = self.cache.owner(hash).and_then(|vm| pool.member(vm));
-        owner.or_else(|| pool.home(hash))
+        let owner = self.cache.owner(hash).filter(|_| copies == 0);
+        if let Some(owner) = owner.and_then(|vm| pool.known(vm)) {
+            return Some((owner, false));
+        }
+        let (first, second) = pool.top(hash);
+        let now = Instant::now();
+        if let Some(first) = first.filter(|_| copies > 0) {
+            self.suspects.insert(first, now + SUSPICION);
+        }
+        // The second copy goes to the home again, which may be back.
+        let is_odd = copies % 2 == 1;
+        let is_suspect = first.is_some_and(|first| {
+            copies == 0 && self.suspects.get(&first).is_some_and(|until| now < *until)
+        });
+        let asks_second = opens && second.is_some() && (is_odd || is_suspect);
+        let chosen = if asks_second { second } else { first };
+        chosen.and_then(|vm| pool.member(vm)).map(|member| (member, asks_second))
     }
 
     fn receive_batch(&mut self) -> Result<()> {
@@ -228,13 +260,8 @@
         if let Some(rejected) = counts.get("rejected") {
             warn!(self.events.logger(), "datagrams of no peer"; "count" => rejected);
         }
-    }
-}
-
-/// The entry's address as it travels with a packet; only IPv4 fits.
-fn encode_address(address: SocketAddr) -> (u32, u32) {
-    match address.ip() {
-        IpAddr::V4(ip) => (u32::from(ip), u32::from(address.port())),
-        IpAddr::V6(_) => (0, 0),
+        if !counts.is_empty() {
+            debug!(self.events.logger(), "counters"; "counts" => ?counts);
+        }
     }
 }
--- a/crates/hyssopdyked/src/node/link.rs
+++ b/crates/hyssopdyked/src/node/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io::IoSliceMut;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use bytes::{Bytes, BytesMut};
 use hyssopdyke_wire::datagram::Datagram;
@@ -144,3 +144,17 @@
         self.tunnel.send(&self.buffer, to)
     }
 }
+
+/// An entry's address as it travels with a packet; only IPv4 fits.
+pub(crate) fn encode_address(address: SocketAddr) -> (u32, u32) {
+    match address.ip() {
+        IpAddr::V4(ip) => (u32::from(ip), u32::from(address.port())),
+        IpAddr::V6(_) => (0, 0),
+    }
+}
+
+/// An entry's address that has come with a packet.
+pub(crate) fn decode_address(address: u32, port: u32) -> Option<SocketAddr> {
+    let port = u16::try_from(port).ok().filter(|port| *port != 0)?;
+    Some(SocketAddr::from((Ipv4Addr::from(address), port)))
+}
--- a/crates/hyssopdyked/src/node/mod.rs
+++ b/crates/hyssopdyked/src/node/mod.rs
@@ -7,6 +7,6 @@
 mod session;
 
 pub(crate) use http::Server;
-pub(crate) use link::{Link, Tunnel};
+pub(crate) use link::{Link, Tunnel, decode_address, encode_address};
 pub(crate) use membership::Membership;
 pub(crate) use session::{Announcement, Session, Update};
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep, sleep_until, timeout};
 use tokio_util::codec::Framed;
 
 use crate::log::Events;
@@ -27,10 +27,10 @@
 const CONNECTING: Duration = Duration::from_millis(500);
 
 /// Time for the answer to a renewal.
-const PATIENCE: Duration = Duration::from_millis(1500);
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Pause before the next control VM is tried.
-const RETRY: Duration = Duration::from_millis(200);
+const RETRY: Duration = Duration::from_millis(50);
 
 /// Updates that may wait for the daemon.
 const QUEUE: usize = 256;
@@ -86,6 +86,7 @@
             key: Key::derive(&cluster.passphrase, Purpose::Session),
             control,
             learned: Vec::new(),
+            is_granted: false,
             announcement,
             updates: sender,
             reports,
@@ -128,6 +129,8 @@
     control: Control,
     /// Control VMs that control has named, the leader first.
     learned: Vec<SocketAddr>,
+    /// The session that is held has been granted a lease.
+    is_granted: bool,
     announcement: Announcement,
     updates: mpsc::Sender<Update>,
     reports: watch::Receiver<Report>,
@@ -155,13 +158,10 @@
 
 impl Client {
     async fn run(mut self) {
-        let mut index = 0;
+        let mut tried = Vec::new();
         loop {
-            let candidates = self.candidates();
-            let Some(address) = candidates.get(index % candidates.len().max(1)).copied() else {
-                return;
-            };
-            let leader = self.learned.first().copied();
+            let Some(address) = self.next_candidate(&mut tried) else { return };
+            self.is_granted = false;
             match self.hold(address).await {
                 End::Stopped => return,
                 end @ (End::Connect(_) | End::Refused(_)) => {
@@ -173,9 +173,10 @@
                         "control" => %address, "reason" => %end);
                 }
             }
-            let is_led_anew = self.learned.first().is_some_and(|first| *first != address);
-            index =
-                if is_led_anew && self.learned.first() != leader.as_ref() { 0 } else { index + 1 };
+            if self.is_granted {
+                tried.clear();
+            }
+            tried.push(address);
             tokio::select! {
                 () = sleep(RETRY) => {}
                 () = is_set(&mut self.stopped) => return,
@@ -183,6 +184,16 @@
         }
     }
 
+    /// The first control VM that was not tried since the last grant, or the first of all.
+    fn next_candidate(&self, tried: &mut Vec<SocketAddr>) -> Option<SocketAddr> {
+        let candidates = self.candidates();
+        let untried = candidates.iter().find(|candidate| !tried.contains(candidate)).copied();
+        if untried.is_none() {
+            tried.clear();
+        }
+        untried.or_else(|| candidates.first().copied())
+    }
+
     /// Control VMs to try, the leader that was named last first.
     fn candidates(&self) -> Vec<SocketAddr> {
         let mut candidates = self.learned.clone();
@@ -232,10 +243,8 @@
         let mut open: VecDeque<(u64, Instant)> = VecDeque::new();
         loop {
             tokio::select! {
+                () = unanswered(open.front()) => return Err(End::Silent),
                 _ = renewals.tick() => {
-                    if open.front().is_some_and(|(_, sent)| sent.elapsed() > PATIENCE) {
-                        return Err(End::Silent);
-                    }
                     renewal += 1;
                     open.push_back((renewal, Instant::now()));
                     let report = *reports.borrow_and_update();
@@ -255,6 +264,7 @@
                             if granted.sequence == 1 {
                                 info!(self.events.logger(), "lease granted"; "control" => %address);
                             }
+                            self.is_granted = true;
                             self.learn(&granted.control);
                             let length = Duration::from_millis(granted.lease_ms.into());
                             while let Some((number, sent)) = open.pop_front() {
@@ -299,6 +309,14 @@
     Ok(stream.send(Frame { body: Some(frame::Body::Renew(renew)) }).await?)
 }
 
+/// Waits until the first open renewal has been unanswered for too long.
+async fn unanswered(first: Option<&(u64, Instant)>) {
+    match first {
+        Some((_, sent)) => sleep_until((*sent + PATIENCE).into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the flag is set, or its sender is gone.
 async fn is_set(flag: &mut watch::Receiver<bool>) {
     let _ = flag.wait_for(|set| *set).await;
--- a/crates/hyssopdyked/src/settings/agent.rs
+++ b/crates/hyssopdyked/src/settings/agent.rs
@@ -31,8 +31,6 @@
     pub(crate) reports: Option<SocketAddr>,
     /// Time between two reports of the upstream.
     pub(crate) heartbeat: Duration,
-    /// Time after which the upstream gets no more packets once its failure domain was taken out.
-    pub(crate) out_within: Duration,
     /// Silence of one end after which a TCP flow is probed.
     pub(crate) probe_after: Duration,
     /// Silence after which a UDP flow has ended.
@@ -48,7 +46,6 @@
         let answer_port = section.number("answer_port", 5557, (0, u16::MAX));
         let upstream = section.value("upstream", "a socket address");
         let fabric = section.value("fabric", "a socket address");
-        let out_within = section.time("out_within", 5 * SECOND, (SECOND, HOUR));
         let probe_after = section.time("probe_after", 30 * SECOND, (SECOND, HOUR));
         let datagram_idle = section.time("datagram_idle", 120 * SECOND, (SECOND, 24 * HOUR));
         if answer_port == peer_port && peer_port.is_some_and(|port| port != 0) {
@@ -72,7 +69,6 @@
             heartbeat: heartbeat?,
             upstream: upstream?,
             fabric: fabric?,
-            out_within: out_within?,
             probe_after: probe_after?,
             datagram_idle: datagram_idle?,
         };
@@ -113,7 +109,6 @@
             writeln!(formatter, "reports = {reports}")?;
         }
         writeln!(formatter, "heartbeat = {}", humantime::format_duration(self.heartbeat))?;
-        writeln!(formatter, "out_within = {}", humantime::format_duration(self.out_within))?;
         let probe_after = humantime::format_duration(self.probe_after);
         writeln!(formatter, "probe_after = {probe_after}")?;
         let datagram_idle = humantime::format_duration(self.datagram_idle);
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -91,12 +91,17 @@
     let record = Record { flow: flow.clone(), isn: u32::MAX, owner: u64::MAX };
     let report =
         Report { sequence: 99_999, epoch: 99_999, opened: vec![record], ..Report::default() };
-    let forward =
-        Forward { packet: packet.clone(), hops: 2, entry_address: u32::MAX, entry_port: 5556 };
-    let load = Some(Load { weight: 50_000, room: 5, ejected: false, closed: false });
+    let forward = Forward {
+        packet: packet.clone(),
+        hops: 2,
+        entry_address: u32::MAX,
+        entry_port: 5556,
+        second: false,
+    };
+    let load = Some(Load { weight: 50_000, room: 5, ..Load::default() });
     let messages = [
         ("forward of a 60-byte packet", Message::Forward(forward)),
-        ("offer of a 60-byte packet", Message::Offer(Offer { packet })),
+        ("offer of a 60-byte packet", Message::Offer(Offer { packet, ..Offer::default() })),
         ("accepted", Message::Accepted(Accepted { flow: flow.clone() })),
         ("owner", Message::Owner(Owner { flow, vm: u64::MAX })),
         ("report of one flow", Message::Report(report)),
