feat(agent): flows that nobody knows are searched at the upstreams; agents leave with theirs

Changes: an agent that starts after its upstream is incomplete; a home asks such agents for a flow that nobody has reported, they hand the packet to their upstreams, and the caller is reset once all have given it back. Members that were not heard for 2.5 s are not waited for. An agent gives its lease back when its upstream ends, and joins again with the next one.

--- a/crates/hyssopdyke/src/connection/mod.rs
+++ b/crates/hyssopdyke/src/connection/mod.rs
@@ -4,11 +4,13 @@
 mod directory;
 mod flow;
 mod half;
+mod search;
 mod state;
 mod table;
 
 pub use cache::Cache;
 pub use directory::{Directory, Offer, Record};
 pub use flow::{Error, Flow, Protocol};
+pub use search::Searches;
 pub use state::{Event, State};
 pub use table::{Ends, Table};
--- a/crates/hyssopdyke/src/process/upstream.rs
+++ b/crates/hyssopdyke/src/process/upstream.rs
@@ -5,6 +5,9 @@
 /// Heartbeats that may be missing before an upstream counts as gone.
 const MISSED_HEARTBEATS: u32 = 3;
 
+/// Heartbeats that may be missing before an upstream that did not say so has ended.
+const LOST_HEARTBEATS: u32 = 12;
+
 /// What an upstream says that it does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -125,6 +128,16 @@
         is_heard && self.last.as_ref().is_some_and(|last| last.phase != Phase::Gone)
     }
 
+    /// Whether the upstream may still be there: it has not said that it ended, and is silent only
+    /// for so long that its reports may merely be late. One that was never heard is there if it is
+    /// `new`.
+    #[must_use]
+    pub fn is_present(&self, now: Instant, new: bool) -> bool {
+        let (Some(last), Some(heard)) = (&self.last, self.heard) else { return new };
+        let patience = self.interval * LOST_HEARTBEATS;
+        last.phase != Phase::Gone && now.duration_since(heard) < patience
+    }
+
     /// Whether the upstream is cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -133,12 +133,6 @@
         self.out.contains(domain)
     }
 
-    /// Whether any failure domain was taken out.
-    #[must_use]
-    pub fn has_out(&self) -> bool {
-        !self.out.is_empty()
-    }
-
     /// Whether the process with this identity is registered.
     #[must_use]
     pub fn is_registered(&self, boot: u64) -> bool {
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -7,12 +7,11 @@
 use bytes::Bytes;
 use hyssopdyke::connection::{self, Flow, Protocol, Record};
 use hyssopdyke::request::{Border, Packet};
-use hyssopdyke::version::Pool;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
 use slog::debug;
 
-use super::worker::{FLOW_AGE, Worker};
+use super::worker::Worker;
 use crate::node::decode_address;
 
 /// Members that are asked one after another before a flow waits for room.
@@ -64,28 +63,56 @@
     fn unplaced(&mut self, flow: Flow, packet: &Packet, forward: Forward, from: SocketAddr) {
         let opens = packet.segment.is_none_or(|segment| segment.opens());
         let may_place = B::SETTLES_OPENING && opens;
-        if !may_place && !self.knows_all_flows() {
+        if !may_place && !self.is_sure(Instant::now()) {
             return self.hold(forward, from);
         }
         if opens {
             let entry = decode_address(forward.entry_address, forward.entry_port);
             self.place(flow, forward.packet, entry);
-        } else if !B::RESETS_OPEN && !self.are_flows_complete() {
-            // The flow may be open at an upstream whose agent has lost it.
-            self.metrics.count("dropped.unknown_flow");
+        } else if !B::RESETS_OPEN {
+            self.search(flow, packet, &forward.packet);
         } else {
-            debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
-            self.metrics.count("reset.unknown");
-            self.answer_by_reset(packet);
+            self.reset_unknown(&flow, packet);
         }
     }
 
-    /// Whether a flow that this home does not know is open at no upstream.
-    fn are_flows_complete(&self) -> bool {
+    /// Looks for a flow that no agent knows at the upstreams that may hold it nevertheless; its
+    /// caller is reset where there is none.
+    fn search(&mut self, flow: Flow, packet: &Packet, bytes: &Bytes) {
         let now = Instant::now();
-        let was_out = self.last_out.is_some_and(|last| now.duration_since(last) < FLOW_AGE);
-        let is_known = |pool: &Pool| self.peers.are_complete(pool);
-        !was_out && self.pool.as_deref().is_some_and(is_known)
+        let Some(pool) = self.pool.clone() else { return };
+        let members = self.peers.incomplete(&pool, now);
+        if members.is_empty() {
+            return self.reset_unknown(&flow, packet);
+        }
+        if !self.searches.start(flow, &members, now) {
+            return self.metrics.count("dropped.searched");
+        }
+        self.metrics.count("searched");
+        for member in members {
+            if member == self.me {
+                self.ask_upstream(flow, bytes, self.me);
+            } else {
+                let forward = Forward { packet: bytes.clone(), search: true, ..Forward::default() };
+                self.send(member, Body::Forward(forward));
+            }
+        }
+    }
+
+    fn reset_unknown(&mut self, flow: &Flow, packet: &Packet) {
+        debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
+        self.metrics.count("reset.unknown");
+        self.answer_by_reset(packet);
+    }
+
+    /// Notes that a member does not hold a flow that is searched.
+    pub(super) fn missed(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes) {
+        if !self.searches.miss(flow, member, Instant::now()) || self.directory.get(flow).is_some() {
+            return;
+        }
+        if let Ok(packet) = self.border.parse(packet) {
+            self.reset_unknown(flow, &packet);
+        }
     }
 
     /// Starts to place a new flow.
@@ -230,6 +257,9 @@
         else {
             return self.metrics.count("unexpected");
         };
+        if unknown.searched {
+            return self.missed(&flow, vm, &unknown.packet);
+        }
         self.directory.end(&flow, vm, None);
     }
 
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -8,7 +8,9 @@
 use hyssopdyke::request::{Border, Packet, Reset};
 use hyssopdyke::version::Route;
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Room, datagram::Body};
+use hyssopdyke_wire::datagram::{
+    Accepted, Declined, Offer, Owner, Reason, Room, Unknown, datagram::Body,
+};
 use slog::{debug, info, warn};
 
 use super::home::WAIT;
@@ -263,6 +265,9 @@
         if packet.segment.is_some_and(|segment| segment.opens()) {
             return self.place_elsewhere(flow, &self.border.restore(bytes));
         }
+        if let Some((home, _)) = self.searched.remove(&flow) {
+            return self.tell_missed(flow, home, &self.border.restore(bytes));
+        }
         if self.table.remove(&flow).is_some() {
             debug!(self.events.logger(), "upstream does not hold the flow"; "flow" => %flow);
             self.note_ended(&flow, 0);
@@ -270,6 +275,34 @@
         }
     }
 
+    /// Asks the upstream whether it holds a flow that nobody knows, where it may.
+    pub(super) fn search_upstream(&mut self, flow: Flow, bytes: &Bytes, from: SocketAddr) {
+        match self.peers.id(from) {
+            Some(home) => self.ask_upstream(flow, bytes, home),
+            None => self.metrics.count("dropped.no_peer"),
+        }
+    }
+
+    /// Hands the upstream a packet that it gives back if it does not hold the flow.
+    pub(super) fn ask_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
+        let now = Instant::now();
+        if !self.is_incomplete(now) || !self.upstream.is_alive(now) {
+            return self.tell_missed(flow, home, bytes);
+        }
+        self.searched.retain(|_, (_, since)| now.duration_since(*since) < ANSWERING);
+        self.searched.insert(flow, (home, now));
+        self.send_to_upstream(bytes);
+    }
+
+    /// Tells the home of a searched flow that the upstream does not hold it.
+    fn tell_missed(&mut self, flow: Flow, home: vm::Id, bytes: &Bytes) {
+        if home == self.me {
+            return self.missed(&flow, self.me, bytes);
+        }
+        let (flow, packet) = (Some(flow.into()), bytes.clone());
+        self.send(home, Body::Unknown(Unknown { flow, searched: true, packet }));
+    }
+
     /// Gives a flow that the upstream has not taken back to its home.
     fn place_elsewhere(&mut self, flow: Flow, bytes: &Bytes) {
         let hash = self.hash(&flow);
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -2,12 +2,17 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use hyssopdyke::request::Candidate;
 use hyssopdyke::version::{Member, Pool};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::Load;
 
+/// Silence after which a member is gone or cut off: it sends two datagrams a second, of which
+/// none is likely to come only over a link that loses most.
+const SILENCE: Duration = Duration::from_millis(2500);
+
 /// Addresses and last reported loads of the members.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -15,14 +20,20 @@
     loads: HashMap<vm::Id, Load>,
     /// Members that have not answered an offer and were not heard since.
     suspects: HashSet<vm::Id>,
+    /// When each member was last heard, or became one.
+    heard: HashMap<vm::Id, Instant>,
 }
 
 impl Peers {
     /// Follows a change of members.
-    pub(super) fn follow(&mut self, pool: &Pool) {
+    pub(super) fn follow(&mut self, pool: &Pool, now: Instant) {
+        self.heard.retain(|vm, _| pool.known(*vm).is_some());
+        for member in pool.members.iter().chain(&pool.out) {
+            self.heard.entry(member.vm).or_insert(now);
+        }
         let known = pool.members.iter().chain(&pool.out);
         self.ids = known.map(|member| (member.address, member.vm)).collect();
-        self.loads.retain(|vm, _| pool.member(*vm).is_some());
+        self.loads.retain(|vm, _| pool.known(*vm).is_some());
         self.suspects.retain(|vm| pool.member(*vm).is_some());
     }
 
@@ -37,18 +48,24 @@
     }
 
     /// Notes that a member was heard.
-    pub(super) fn heard(&mut self, address: SocketAddr) {
-        if !self.suspects.is_empty()
-            && let Some(vm) = self.id(address)
-        {
+    pub(super) fn heard(&mut self, address: SocketAddr, now: Instant) {
+        let Some(vm) = self.id(address) else { return };
+        self.heard.insert(vm, now);
+        if !self.suspects.is_empty() {
             self.suspects.remove(&vm);
         }
     }
 
-    /// Whether each of the members is known to hold no flow that it does not know itself.
-    pub(super) fn are_complete(&self, pool: &Pool) -> bool {
+    /// Whether a member was not heard for so long that it must be gone or cut off.
+    pub(super) fn is_silent(&self, vm: vm::Id, now: Instant) -> bool {
+        self.heard.get(&vm).is_some_and(|heard| now.duration_since(*heard) >= SILENCE)
+    }
+
+    /// Members whose upstreams may hold flows that they do not know.
+    pub(super) fn incomplete(&self, pool: &Pool, now: Instant) -> Vec<vm::Id> {
         let is_complete = |vm| self.loads.get(&vm).is_some_and(|load| !load.incomplete);
-        pool.members.iter().all(|member| is_complete(member.vm))
+        let known = pool.members.iter().chain(&pool.out).map(|member| member.vm);
+        known.filter(|vm| !is_complete(*vm) && !self.is_silent(*vm, now)).collect()
     }
 
     /// Notes a member's load.
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -27,6 +27,20 @@
         self.has_all(&self.records_barrier)
     }
 
+    /// Whether a flow that is in no table of this agent is one that nobody has reported.
+    pub(super) fn is_sure(&self, now: Instant) -> bool {
+        if B::RESETS_OPEN { self.knows_all_flows() } else { self.knows_flows_of_all(now) }
+    }
+
+    /// Whether all agents that can be heard have reported their flows, also those in failure
+    /// domains that are out.
+    fn knows_flows_of_all(&self, now: Instant) -> bool {
+        let Some(pool) = &self.pool else { return false };
+        let known = pool.members.iter().chain(&pool.out).map(|member| member.vm);
+        let heard = known.filter(|vm| *vm != self.me && !self.peers.is_silent(*vm, now));
+        self.own_barrier.is_complete(pool.epoch, heard)
+    }
+
     fn has_all(&self, barrier: &Barrier) -> bool {
         let Some(pool) = &self.pool else {
             return false;
@@ -37,10 +51,10 @@
 
     /// Reports all flows anew, since homes have moved.
     pub(super) fn epoch_changed(&mut self, pool: &Pool) {
-        self.peers.follow(pool);
+        self.peers.follow(pool, Instant::now());
         self.draw.retain(|vm| pool.member(vm).is_some());
         self.records_barrier.retain(|vm| pool.member(vm).is_some());
-        self.own_barrier.retain(|vm| pool.member(vm).is_some());
+        self.own_barrier.retain(|vm| pool.known(vm).is_some());
         self.outbox.retain(|_, _| false);
         self.increments.clear();
         self.mark_absent();
@@ -293,7 +307,12 @@
             }
             self.verify_adopted(Instant::now());
         }
-        if self.knows_all_flows() {
+        self.take_held();
+    }
+
+    /// Takes the packets that waited, once all reports have come.
+    pub(super) fn take_held(&mut self) {
+        if !self.held.is_empty() && self.is_sure(Instant::now()) {
             for (forward, from) in std::mem::take(&mut self.held) {
                 self.forwarded(forward, from);
             }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use eyre::Result;
-use hyssopdyke::connection::{Directory, Flow, Table};
+use hyssopdyke::connection::{Directory, Flow, Searches, Table};
 use hyssopdyke::process::{Barrier, Change, Limit, Outbox, Phase, Upstream};
 use hyssopdyke::request::{Border, Draw, Packet};
 use hyssopdyke::version::{Bounds, Pool, Route};
@@ -41,8 +41,11 @@
 /// Time for the last reports before a graceful stop.
 const FAREWELL: Duration = Duration::from_secs(1);
 
+/// Heartbeats within which an upstream has reported to an agent that has just started.
+const FIRST_HEARTBEATS: u32 = 5;
+
 /// Age after which a flow is over, also where neither end has said so.
-pub(super) const FLOW_AGE: Duration = Duration::from_mins(1);
+const FLOW_AGE: Duration = Duration::from_mins(1);
 
 /// Packets that may wait for the reports of other members.
 const HELD_PACKETS: usize = 512;
@@ -97,8 +100,6 @@
     pub(super) is_member: bool,
     /// The failure domain is out, and the flows of before are served on.
     pub(super) is_out: bool,
-    /// When a failure domain was last known to be out.
-    pub(super) last_out: Option<Instant>,
     /// The process is about to stop and takes no new flows.
     pub(super) is_leaving: bool,
     /// Records that are not this agent's to keep may be in the directory.
@@ -114,6 +115,10 @@
     /// The upstream does not answer.
     pub(super) is_upstream_silent: bool,
     pub(super) directory: Directory,
+    /// Searches that this agent makes as a home.
+    pub(super) searches: Searches,
+    /// Homes that are told if the upstream gives a flow's packet back, and since when.
+    pub(super) searched: HashMap<Flow, (vm::Id, Instant)>,
     /// Members that have reported their records of others' flows.
     pub(super) records_barrier: Barrier,
     /// Members that have reported their own flows.
@@ -159,7 +164,6 @@
             pool: None,
             is_member: false,
             is_out: false,
-            last_out: None,
             is_leaving: false,
             must_prune: false,
             is_fresh: true,
@@ -169,6 +173,8 @@
             upstream_heard: None,
             is_upstream_silent: false,
             directory: Directory::new(),
+            searches: Searches::new(),
+            searched: HashMap::new(),
             records_barrier: Barrier::new(),
             own_barrier: Barrier::new(),
             outbox: Outbox::new(REPORT_INTERVAL, REPORT_WINDOW),
@@ -190,9 +196,33 @@
                 _ = sweeps.tick() => self.sweep(),
             }
             session.report(self.membership.revision(), self.usage());
+            self.follow_upstream(session).await?;
         }
     }
 
+    /// Leaves with the upstream, and comes back with it: an agent without one only makes others
+    /// wait for it.
+    async fn follow_upstream(&mut self, session: &mut Session) -> Result<()> {
+        let is_there = self.has_upstream(Instant::now());
+        if is_there && self.is_leaving {
+            info!(self.events.logger(), "agent joins with its upstream");
+            self.is_leaving = false;
+            session.rejoin();
+        } else if !is_there && !self.is_leaving {
+            info!(self.events.logger(), "agent leaves with its upstream");
+            self.finish(session).await?;
+            session.leave().await;
+        }
+        Ok(())
+    }
+
+    /// Whether there is an upstream, or may be one that has not reported yet.
+    fn has_upstream(&self, now: Instant) -> bool {
+        let is_new =
+            now.duration_since(self.started.0) < self.settings.heartbeat * FIRST_HEARTBEATS;
+        self.settings.reports.is_none() || self.upstream.is_present(now, is_new)
+    }
+
     /// Serves what comes next: messages, answers, an update of control, or what is due.
     async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
         tokio::select! {
@@ -305,7 +335,7 @@
 
     fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let revision = datagram.revision;
-        self.peers.heard(from);
+        self.peers.heard(from, Instant::now());
         self.membership.follow(&mut self.link, from, revision);
         match datagram.body {
             Some(Body::Forward(forward)) => self.forwarded(forward, from),
@@ -352,6 +382,9 @@
         if self.is_own(&flow, &packet) {
             return self.deliver(&flow, &packet, &forward.packet);
         }
+        if forward.search {
+            return self.search_upstream(flow, &forward.packet, from);
+        }
         if !self.may_act(now) {
             return self.metrics.count("dropped.inactive");
         }
@@ -367,7 +400,8 @@
             self.hint(&forward, &flow, 0);
             self.send(home, Body::Forward(Forward { hops, ..forward }));
         } else if !self.is_fresh {
-            self.send_to(from, Body::Unknown(Unknown { flow: Some(flow.into()) }));
+            let flow = Some(flow.into());
+            self.send_to(from, Body::Unknown(Unknown { flow, ..Unknown::default() }));
         }
     }
 
@@ -448,9 +482,6 @@
         if was_member && view.is_out(&self.domain) {
             self.taken_out();
         }
-        if view.has_out() {
-            self.last_out = Some(Instant::now());
-        }
         let Some(pool) = self.pool.clone() else {
             return;
         };
@@ -469,15 +500,13 @@
         self.send_reports();
         self.prune();
         if self.may_act(Instant::now()) {
+            self.take_held();
             self.retry_offers();
         }
     }
 
     fn sweep(&mut self) {
         let now = Instant::now();
-        if self.membership.view().has_out() {
-            self.last_out = Some(now);
-        }
         self.exchange_loads(now);
         if self.may_serve_own(now) {
             self.sweep_flows(now);
@@ -539,7 +568,8 @@
         let load = self.load(now);
         self.peers.note(self.me, load);
         let me = self.me;
-        for member in pool.members.iter().filter(|member| member.vm != me) {
+        let known = pool.members.iter().chain(&pool.out);
+        for member in known.filter(|member| member.vm != me) {
             let ping = self.membership.ping(Some(load), now);
             self.send_to(member.address, Body::Ping(ping));
         }
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -171,7 +171,8 @@
             return self.metrics.count("dropped.no_member");
         };
         let (entry_address, entry_port) = encode_address(self.address);
-        let forward = Forward { packet: bytes, hops: HOPS, entry_address, entry_port, second };
+        let forward =
+            Forward { packet: bytes, hops: HOPS, entry_address, entry_port, second, search: false };
         let message = self.membership.message(Body::Forward(forward));
         self.metrics.count("forwarded");
         if !self.link.send(&message, target.address) {
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -24,7 +24,7 @@
 const RENEWAL: Duration = Duration::from_secs(1);
 
 /// Time for connecting: several times the longest way and back.
-const CONNECTING: Duration = Duration::from_millis(500);
+const CONNECTING: Duration = Duration::from_millis(200);
 
 /// Time for the answer to a renewal.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -68,6 +68,8 @@
     updates: mpsc::Receiver<Update>,
     report: watch::Sender<Report>,
     stop: watch::Sender<bool>,
+    /// What a session is made of, to begin another one.
+    client: Client,
     task: JoinHandle<()>,
 }
 
@@ -93,7 +95,8 @@
             stopped,
             events,
         };
-        Self { updates, report, stop, task: tokio::spawn(client.run()) }
+        let task = tokio::spawn(client.clone().run());
+        Self { updates, report, stop, client, task }
     }
 
     /// Waits for the next update.
@@ -116,13 +119,31 @@
     }
 
     /// Gives the lease back and ends the session.
-    pub(crate) async fn leave(mut self) {
+    pub(crate) async fn leave(&mut self) {
+        if self.task.is_finished() {
+            return;
+        }
         self.stop.send_replace(true);
-        self.updates.close();
-        let _ = timeout(PATIENCE, self.task).await;
+        // What control sends meanwhile is of no use any more, and must not hold the task up.
+        while self.updates.try_recv().is_ok() {}
+        let _ = timeout(PATIENCE, &mut self.task).await;
+        self.task.abort();
+    }
+
+    /// Starts another session after [`leave`](Self::leave).
+    pub(crate) fn rejoin(&mut self) {
+        self.stop.send_replace(false);
+        self.task = tokio::spawn(self.client.clone().run());
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
+#[derive(Clone)]
 struct Client {
     key: Key,
     /// Control VMs of the settings.
--- a/crates/hyssopdyked/tests/hostile.rs
+++ b/crates/hyssopdyked/tests/hostile.rs
@@ -52,7 +52,7 @@
     };
     let forward = |service| {
         let packet = packet(4000, service, b"x").into();
-        Body::Forward(Forward { packet, hops: 2, entry_address: 0, entry_port: 0, second: false })
+        Body::Forward(Forward { packet, hops: 2, ..Forward::default() })
     };
     for _ in 0..20 {
         send(forward(bench.cluster.stream_address(1)));
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -96,7 +96,7 @@
         hops: 2,
         entry_address: u32::MAX,
         entry_port: 5556,
-        second: false,
+        ..Forward::default()
     };
     let load = Some(Load { weight: 50_000, room: 5, ..Load::default() });
     let messages = [
