feat: flows of several requests take a slot while one runs; reports of new flows are waited for

Owners now report such a flow at once, and a home waits 150 ms, a tick and a repetition, before a reset.

Nothing told how busy an upstream is, as a flow carries many requests. A new class of listener takes a slot from a caller's bytes to the answer's first; a flow is offered to members with a free slot of the drawn service, then of the route's other services, then where its request waits least, and refused at once where every wait is too long.

--- a/crates/hyssopctl/src/declaration.rs
+++ b/crates/hyssopctl/src/declaration.rs
@@ -216,7 +216,8 @@
     fn listener(&mut self, text: &str) -> Option<Listener> {
         let listener = parse_listener(text);
         if listener.is_none() {
-            let expected = "address:port/protocol/class with tcp or udp, and stream or request";
+            let expected =
+                "address:port/protocol/class with tcp or udp, and stream, request or exchange";
             self.form("listen", text, expected);
         }
         listener
@@ -271,6 +272,7 @@
     let class = match parts.next()? {
         "stream" => Class::Stream,
         "request" => Class::Request,
+        "exchange" => Class::Exchange,
         _ => return None,
     };
     if parts.next().is_some() || address.port() == 0 {
--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -15,6 +15,17 @@
 use super::Flow;
 use crate::vm;
 
+/// Which members are asked to take a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Round {
+    /// Those of the service that was drawn, if they have a free slot.
+    Drawn,
+    /// Those of the route's other services, if they have a free slot.
+    Others,
+    /// All, if the flow's request need not wait too long for a slot.
+    Waiting,
+}
+
 /// A new flow on its way to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Offer {
@@ -22,8 +33,10 @@
     pub asked: Option<vm::Id>,
     /// Entry that is told who owns the flow; `None` for none.
     pub entry: Option<SocketAddr>,
-    /// Service that the flow goes to.
+    /// Service that was drawn for the flow.
     pub service: Box<str>,
+    /// Which members are asked.
+    pub round: Round,
     /// Members that declined since the last wait.
     pub declined: Vec<vm::Id>,
     /// Members that may still be asked before the flow waits.
@@ -42,7 +55,8 @@
     pub const fn new(packet: Bytes, service: Box<str>, tries: usize, now: Instant) -> Self {
         let declined = Vec::new();
         let (asked, entry) = (None, None);
-        Self { asked, entry, service, declined, tries, packet, since: now, sent: now }
+        let round = Round::Drawn;
+        Self { asked, entry, service, round, declined, tries, packet, since: now, sent: now }
     }
 }
 
--- a/crates/hyssopdyke/src/connection/mod.rs
+++ b/crates/hyssopdyke/src/connection/mod.rs
@@ -9,8 +9,8 @@
 mod table;
 
 pub use cache::Cache;
-pub use directory::{Directory, Offer, Record};
+pub use directory::{Directory, Offer, Record, Round};
 pub use flow::{Error, Flow, Protocol};
 pub use search::Searches;
-pub use state::{Event, State};
+pub use state::{Class, Event, State};
 pub use table::{Ends, Table};
--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -16,6 +16,18 @@
     Failed,
 }
 
+/// What a flow takes of its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// A connection.
+    Stream,
+    /// A connection, and a slot until the one request that it carries is answered.
+    Request,
+    /// A connection, and a slot while one of the requests that it carries is under way: from the
+    /// caller's first bytes to the upstream's.
+    Exchange,
+}
+
 /// How far the opening of a flow has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Handshake {
@@ -45,14 +57,15 @@
     /// The upstream has not been heard since the flow was adopted.
     pub(super) unverified: bool,
     handshake: Handshake,
+    class: Class,
     pub(super) slot: bool,
     pub(super) closed: Option<Instant>,
 }
 
 impl State {
-    /// A flow that is admitted now; `slot` tells whether it holds one of the upstream's slots.
+    /// A flow that is admitted now; its first request is expected at once.
     #[must_use]
-    pub fn new(isn: u32, now: Instant, slot: bool) -> Self {
+    pub fn new(isn: u32, now: Instant, class: Class) -> Self {
         Self {
             isn,
             since: now,
@@ -65,16 +78,19 @@
             asked: None,
             unverified: false,
             handshake: Handshake::Asked,
-            slot,
+            class,
+            slot: class != Class::Stream,
             closed: None,
         }
     }
 
     /// A flow that a former process of this agent admitted: it is open and its numbers unknown.
     #[must_use]
-    pub fn adopted(isn: u32, now: Instant, slot: bool) -> Self {
+    pub fn adopted(isn: u32, now: Instant, class: Class) -> Self {
         let handshake = Handshake::Confirmed;
-        Self { handshake, unverified: true, ..Self::new(isn, now, slot) }
+        // Whether a lone request still runs is unknown; its slot is taken until it has ended.
+        let slot = class == Class::Request;
+        Self { handshake, slot, unverified: true, ..Self::new(isn, now, class) }
     }
 
     /// Whether both ends have finished, or one has reset the connection.
@@ -117,6 +133,7 @@
         }
         if segment.length > 0 && self.asked.is_none() {
             self.asked = Some(now);
+            self.slot |= self.class == Class::Exchange && !self.is_closed();
         }
         self.caller.sent(segment);
         if let Some(number) = segment.acknowledgement {
@@ -156,9 +173,13 @@
         if let Some(number) = segment.acknowledgement {
             self.caller.acknowledge(number);
         }
-        let event = if segment.fin && self.release_slot() {
+        let is_answer = match self.class {
+            Class::Exchange => segment.fin || (segment.length > 0 && self.asked.is_some()),
+            Class::Request | Class::Stream => segment.fin,
+        };
+        let event = if is_answer && self.release_slot() {
             // The handshake is no part of the upstream's work.
-            let asked = self.asked.unwrap_or(self.since);
+            let asked = self.asked.take().unwrap_or(self.since);
             Some(Event::Answered(now.duration_since(asked)))
         } else if segment.syn && !self.is_open() {
             self.open();
--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -197,6 +197,7 @@
         let result = change(connection);
         self.connections -= u32::from(!before.0 && connection.is_closed());
         self.slots -= u32::from(before.1 && !connection.slot);
+        self.slots += u32::from(!before.1 && connection.slot);
         Some(result)
     }
 
--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What a daemon keeps from its start to its stop.
 
 mod barrier;
+mod cold;
 mod disk;
 mod journal;
 mod lease;
@@ -9,6 +10,7 @@
 mod upstream;
 
 pub use barrier::Barrier;
+pub use cold::Cold;
 pub use disk::{Disk, Folder};
 pub use journal::{Error as JournalError, Journal};
 pub use lease::Lease;
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyssopdyke_wire::resource::{self, Class, Kind, State, resource::Body};
+use hyssopdyke_wire::resource::{self, Kind, State, resource::Body};
 
 use super::{Bounds, DECLARATION, Groups, Member, Pool, Store};
-use crate::connection::Protocol;
+use crate::connection::{Class, Protocol};
 use crate::vm;
 
 /// What of a route's new flows one service gets.
@@ -23,8 +23,10 @@
 /// What a service address stands for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
-    /// One flow is one request and takes a slot.
-    pub is_request: bool,
+    /// What a flow takes of its upstream.
+    pub class: Class,
+    /// Time in which a request must be answered; zero where that is not declared.
+    pub timeout: Duration,
     /// The services that serve it; none of them has weight 0.
     pub shares: Box<[Share]>,
     /// The members of these services and of those that they share routes with.
@@ -223,7 +225,7 @@
             };
             for listener in &service.listeners {
                 let share = Share { service: resource.name.as_str().into(), weight: 1 };
-                self.add_route(listener, Box::new([share]));
+                self.add_route(listener, Box::new([share]), Duration::ZERO);
             }
         }
     }
@@ -239,18 +241,24 @@
                 .map(|split| Share { service: split.service.as_str().into(), weight: split.weight })
                 .collect();
             if let Some(listener) = &route.listener {
-                self.add_route(listener, shares);
+                let timeout = Duration::from_millis(route.timeout_ms.into());
+                self.add_route(listener, shares, timeout);
             }
         }
     }
 
-    fn add_route(&mut self, listener: &resource::Listener, shares: Box<[Share]>) {
+    fn add_route(
+        &mut self,
+        listener: &resource::Listener,
+        shares: Box<[Share]>,
+        timeout: Duration,
+    ) {
         let pool = shares.first().and_then(|share| self.pools.get(&share.service));
         let (Some(key), Some(pool)) = (listener_key(listener), pool.cloned()) else {
             return;
         };
-        let is_request = listener.class() == Class::Request;
-        self.routes.insert(key, Route { is_request, shares, pool });
+        let class = class(listener.class());
+        self.routes.insert(key, Route { class, timeout, shares, pool });
     }
 
     fn add_declaration(&mut self, store: &Store) {
@@ -305,6 +313,14 @@
     })
 }
 
+const fn class(class: resource::Class) -> Class {
+    match class {
+        resource::Class::Request => Class::Request,
+        resource::Class::Exchange => Class::Exchange,
+        resource::Class::Stream | resource::Class::Unspecified => Class::Stream,
+    }
+}
+
 fn listener_key(listener: &resource::Listener) -> Option<(SocketAddr, Protocol)> {
     let protocol = match listener.protocol() {
         resource::Protocol::Tcp => Protocol::Tcp,
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -8,6 +8,9 @@
 use hyssopdyke::connection::{self, Cache, Directory, Event, Flow, Offer, Protocol, Table};
 use hyssopdyke::request::{Packet, Refusal, Reset, Segment};
 
+const CLASSES: [connection::Class; 3] =
+    [connection::Class::Stream, connection::Class::Request, connection::Class::Exchange];
+
 const SECOND: Duration = Duration::from_secs(1);
 
 fn flow(port: u16) -> Flow {
@@ -32,7 +35,7 @@
 /// A table with one request, established and asked, whose initial numbers are 100 and 500.
 fn asked(start: Instant) -> Table {
     let mut table = Table::new();
-    table.insert(flow(1), connection::State::new(100, start, true));
+    table.insert(flow(1), connection::State::new(100, start, connection::Class::Request));
     assert!(table.inbound(&flow(1), Some(&segment(100, None, "S", 0)), start));
     let event = table.outbound(&flow(1), Some(&segment(500, Some(101), "S", 0)), start + SECOND);
     assert_eq!(event, Some(Some(Event::Opened(SECOND))));
@@ -112,7 +115,7 @@
 fn table_adopted() {
     let start = Instant::now();
     let mut table = Table::new();
-    table.insert(flow(1), connection::State::adopted(100, start, true));
+    table.insert(flow(1), connection::State::adopted(100, start, connection::Class::Request));
     assert_eq!(table.unverified(), [flow(1)]);
     let probe = table.probe(&flow(1), start).unwrap();
     assert_eq!(probe.upstream.map(|probe| probe.sequence), Some(101));
@@ -137,7 +140,8 @@
                 let sequence = u32::from(source.arbitrary::<u8>()?);
                 let segment = segment(sequence, acknowledgement, flags, 3);
                 match source.int_in_range(0..=4)? {
-                    0 => table.insert(flow, connection::State::new(1, now, source.arbitrary()?)),
+                    0 => table
+                        .insert(flow, connection::State::new(1, now, *source.choose(&CLASSES)?)),
                     1 => drop(table.remove(&flow)),
                     2 => drop(table.inbound(&flow, Some(&segment), now)),
                     3 => drop(table.outbound(&flow, Some(&segment), now)),
@@ -244,3 +248,31 @@
         .seed((seed << 32) | 0x100);
     }
 }
+
+#[test]
+fn table_exchange() {
+    // A caller asks twice on one flow: each request takes a slot until its answer begins.
+    let start = Instant::now();
+    let mut table = Table::new();
+    table.insert(flow(1), connection::State::new(100, start, connection::Class::Exchange));
+    assert_eq!(table.slots(), 1, "the first request is on its way");
+    table.inbound(&flow(1), Some(&segment(100, None, "S", 0)), start);
+    table.outbound(&flow(1), Some(&segment(500, Some(101), "S", 0)), start);
+    table.inbound(&flow(1), Some(&segment(101, Some(501), "", 10)), start);
+    let answer = segment(501, Some(111), "", 20);
+    let event = table.outbound(&flow(1), Some(&answer), start + SECOND);
+    assert_eq!(event, Some(Some(Event::Answered(SECOND))));
+    assert_eq!(table.slots(), 0);
+    table.inbound(&flow(1), Some(&segment(111, Some(521), "", 0)), start + SECOND);
+    assert_eq!(table.slots(), 0, "an acknowledgement is no request");
+    table.inbound(&flow(1), Some(&segment(111, Some(521), "", 10)), start + 2 * SECOND);
+    assert_eq!(table.slots(), 1);
+    let event = table.outbound(&flow(1), Some(&segment(521, Some(121), "", 0)), start + 2 * SECOND);
+    assert_eq!((event, table.slots()), (Some(None), 1), "an acknowledgement is no answer");
+    let answer = segment(521, Some(121), "", 20);
+    let event = table.outbound(&flow(1), Some(&answer), start + 5 * SECOND);
+    assert_eq!(event, Some(Some(Event::Answered(3 * SECOND))));
+    table.inbound(&flow(1), Some(&segment(121, Some(541), "", 10)), start + 6 * SECOND);
+    table.outbound(&flow(1), Some(&segment(541, None, "R", 0)), start + 6 * SECOND);
+    assert_eq!((table.slots(), table.connections()), (0, 0));
+}
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -5,24 +5,39 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyssopdyke::connection::{self, Flow, Protocol, Record};
-use hyssopdyke::request::{Border, Packet};
+use hyssopdyke::connection::{self, Class, Flow, Protocol, Record, Round};
+use hyssopdyke::request::{Border, Candidate, Packet};
+use hyssopdyke::version::Route;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
 use slog::debug;
 
+use super::owner::Terms;
 use super::worker::Worker;
-use crate::node::decode_address;
+use crate::node::{decode_address, encode_address};
 
 /// Members that are asked one after another before a flow waits for room.
 const TRIES: usize = 4;
 
+/// Members that are asked in each further round.
+const MORE_TRIES: usize = 2;
+
+/// Share of a request's time that it may wait for a slot: the rest is for its work and for the
+/// ways.
+const PATIENCE_SHARE: f64 = 0.5;
+
 /// Time between two offers of the same flow.
 const OFFER_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for which a flow waits for room before it is refused.
 pub(super) const WAIT: Duration = Duration::from_millis(300);
 
+/// Time in which the report of a new flow has come: a tick, and a repetition if one is lost.
+const REPORTED: Duration = Duration::from_millis(150);
+
+/// Packets that may wait for the report of their flow.
+const DOUBTFUL_PACKETS: usize = 512;
+
 /// Flows that may wait for room at a time.
 const WAITING_FLOWS: usize = 256;
 
@@ -70,7 +85,7 @@
             let entry = decode_address(forward.entry_address, forward.entry_port);
             self.place(flow, forward.packet, entry);
         } else if !B::RESETS_OPEN {
-            self.search(flow, packet, &forward.packet);
+            self.search(flow, forward, from);
         } else {
             self.reset_unknown(&flow, packet);
         }
@@ -78,12 +93,12 @@
 
     /// Looks for a flow that no agent knows at the upstreams that may hold it nevertheless; its
     /// caller is reset where there is none.
-    fn search(&mut self, flow: Flow, packet: &Packet, bytes: &Bytes) {
+    fn search(&mut self, flow: Flow, forward: Forward, from: SocketAddr) {
         let now = Instant::now();
         let Some(pool) = self.pool.clone() else { return };
         let members = self.peers.incomplete(&pool, now);
         if members.is_empty() {
-            return self.reset_unknown(&flow, packet);
+            return self.doubt(forward, from);
         }
         if !self.searches.start(flow, &members, now) {
             return self.metrics.count("dropped.searched");
@@ -91,30 +106,54 @@
         self.metrics.count("searched");
         for member in members {
             if member == self.me {
-                self.ask_upstream(flow, bytes, self.me);
+                self.ask_upstream(flow, &forward.packet, self.me);
             } else {
-                let forward = Forward { packet: bytes.clone(), search: true, ..Forward::default() };
-                self.send(member, Body::Forward(forward));
+                let packet = forward.packet.clone();
+                let question = Forward { packet, search: true, ..Forward::default() };
+                self.send(member, Body::Forward(question));
             }
         }
     }
 
-    fn reset_unknown(&mut self, flow: &Flow, packet: &Packet) {
-        debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
-        self.metrics.count("reset.unknown");
-        self.answer_by_reset(packet);
+    /// Notes that a member does not hold a flow that is searched.
+    pub(super) fn missed(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes, from: SocketAddr) {
+        if self.searches.miss(flow, member, Instant::now()) {
+            let forward = Forward { packet: packet.clone(), ..Forward::default() };
+            self.doubt(forward, from);
+        }
     }
 
-    /// Notes that a member does not hold a flow that is searched.
-    pub(super) fn missed(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes) {
-        if !self.searches.miss(flow, member, Instant::now()) || self.directory.get(flow).is_some() {
-            return;
+    /// Keeps a packet until the report of its flow, which may just have been opened, has come.
+    fn doubt(&mut self, forward: Forward, from: SocketAddr) {
+        if self.doubtful.len() < DOUBTFUL_PACKETS {
+            self.doubtful.push_back((Instant::now(), forward, from));
+        } else {
+            self.metrics.count("dropped.doubtful");
         }
-        if let Ok(packet) = self.border.parse(packet) {
-            self.reset_unknown(flow, &packet);
+    }
+
+    /// Resets the callers of flows that nobody has reported meanwhile.
+    pub(super) fn resolve_doubtful(&mut self, now: Instant) {
+        while let Some((since, forward, from)) = self.doubtful.pop_front() {
+            if now.duration_since(since) < REPORTED {
+                return self.doubtful.push_front((since, forward, from));
+            }
+            let Ok(packet) = self.border.parse(&forward.packet) else { continue };
+            let flow = packet.inbound();
+            if self.directory.get(&flow).is_some() || self.is_own(&flow, &packet) {
+                self.forwarded(forward, from);
+            } else {
+                self.reset_unknown(&flow, &packet);
+            }
         }
     }
 
+    fn reset_unknown(&mut self, flow: &Flow, packet: &Packet) {
+        debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
+        self.metrics.count("reset.unknown");
+        self.answer_by_reset(packet);
+    }
+
     /// Starts to place a new flow.
     fn place(&mut self, flow: Flow, packet: Bytes, entry: Option<SocketAddr>) {
         let view = Arc::clone(self.membership.view());
@@ -145,41 +184,94 @@
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
         let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
-        let offer = connection::Offer::new(packet.clone(), service, TRIES, Instant::now());
+        let offer = connection::Offer::new(packet, service, TRIES, Instant::now());
         self.directory.offer(flow, connection::Offer { asked: Some(owner), entry, ..offer });
-        self.send_offer(owner, packet, entry);
+        self.offer_to_asked(flow, route);
     }
 
     /// Offers a flow to the next member, until one takes it or none is left.
     fn ask_next(&mut self, flow: Flow) {
+        let view = Arc::clone(self.membership.view());
+        let Some(route) = view.route(flow.service, flow.protocol) else { return };
         loop {
-            let Some(pool) = self.pool.clone() else { return };
+            let Some(chosen) = self.next_member(flow, route) else {
+                return self.wait_or_refuse(flow, route.class);
+            };
             let Some(offer) = self.directory.offer_mut(&flow) else { return };
-            let candidates = self.peers.candidates(&pool, &offer.service, &offer.declined);
-            let chosen = self.draw.pick(&candidates).filter(|_| offer.tries > 0);
-            offer.tries = offer.tries.saturating_sub(1);
-            offer.asked = chosen;
+            offer.asked = Some(chosen);
             offer.sent = Instant::now();
-            let (packet, entry) = (offer.packet.clone(), offer.entry);
-            match chosen {
-                None => return self.wait_or_refuse(flow),
-                Some(vm) if vm != self.me => return self.send_offer(vm, packet, entry),
-                Some(_) => {
-                    if self.admit_own(flow, &packet, entry) {
-                        return;
-                    }
+            if chosen != self.me {
+                return self.offer_to_asked(flow, route);
+            }
+            if self.admit_own(flow) {
+                return;
+            }
+        }
+    }
+
+    /// The member that is asked next to take a flow.
+    fn next_member(&mut self, flow: Flow, route: &Route) -> Option<vm::Id> {
+        loop {
+            let pool = self.pool.clone()?;
+            let offer = self.directory.offer_mut(&flow)?;
+            offer.asked = None;
+            let services: Vec<&str> = match offer.round {
+                Round::Drawn => vec![&offer.service],
+                Round::Others => {
+                    let others = route.shares.iter().map(|share| &*share.service);
+                    others.filter(|service| **service != *offer.service).collect()
                 }
+                Round::Waiting => route.shares.iter().map(|share| &*share.service).collect(),
+            };
+            let candidates: Vec<Candidate> = services
+                .into_iter()
+                .flat_map(|service| self.peers.candidates(&pool, service, &offer.declined))
+                .collect();
+            let chosen = match offer.round {
+                Round::Waiting => self.peers.least_wait(&candidates),
+                Round::Drawn | Round::Others => self.draw.pick(&candidates),
+            };
+            if let Some(vm) = chosen.filter(|_| offer.tries > 0) {
+                offer.tries -= 1;
+                return Some(vm);
             }
+            offer.round = match (route.class, offer.round) {
+                (Class::Exchange, Round::Drawn) => Round::Others,
+                (Class::Exchange, Round::Others) => {
+                    // Members without a free slot may have few who wait.
+                    offer.declined.clear();
+                    Round::Waiting
+                }
+                _ => return None,
+            };
+            offer.tries = MORE_TRIES;
         }
     }
 
+    /// Sends an offer to the member that is asked now.
+    fn offer_to_asked(&mut self, flow: Flow, route: &Route) {
+        let Some(offer) = self.directory.offer_mut(&flow) else { return };
+        let Some(to) = offer.asked else { return };
+        let (entry_address, entry_port) = offer.entry.map_or((0, 0), encode_address);
+        let patience_ms = patience(offer, route).as_millis() as u32;
+        let packet = offer.packet.clone();
+        self.send(
+            to,
+            Body::Offer(datagram::Offer { packet, entry_address, entry_port, patience_ms }),
+        );
+    }
+
     /// Offers a flow to this agent's own upstream; true if it needs no other member.
-    fn admit_own(&mut self, flow: Flow, bytes: &Bytes, entry: Option<SocketAddr>) -> bool {
-        let Some((packet, route)) = self.checked(bytes) else {
+    fn admit_own(&mut self, flow: Flow) -> bool {
+        let Some(offer) = self.directory.offer_mut(&flow) else { return true };
+        let (bytes, entry) = (offer.packet.clone(), offer.entry);
+        let offer = offer.clone();
+        let Some((packet, route)) = self.checked(&bytes) else {
             self.directory.remove(&flow);
             return true;
         };
-        let is_admitted = self.admit(self.me, flow, &packet, &route, bytes).is_ok();
+        let terms = Terms { home: self.me, patience: patience(&offer, &route) };
+        let is_admitted = self.admit(terms, flow, &packet, &route, &bytes).is_ok();
         if is_admitted {
             self.tell_entry(&flow, entry);
             self.directory.remove(&flow);
@@ -189,10 +281,12 @@
         is_admitted
     }
 
-    fn wait_or_refuse(&mut self, flow: Flow) {
+    /// Lets a flow wait for room, or refuses it where that is of no use.
+    fn wait_or_refuse(&mut self, flow: Flow, class: Class) {
         let now = Instant::now();
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
-        let waits = now.duration_since(offer.since) < WAIT;
+        // Of an exchange it is known that every member has more waiting than it can serve in time.
+        let waits = class != Class::Exchange && now.duration_since(offer.since) < WAIT;
         if waits && self.directory.offered().len() <= WAITING_FLOWS {
             return;
         }
@@ -237,6 +331,9 @@
             return self.metrics.count("unexpected");
         };
         self.metrics.count("declined");
+        if let Some(load) = declined.load {
+            self.peers.note(vm, load);
+        }
         if declined.reason() == Reason::Returned {
             return self.place_again(flow, vm, declined.packet.clone());
         }
@@ -258,7 +355,7 @@
             return self.metrics.count("unexpected");
         };
         if unknown.searched {
-            return self.missed(&flow, vm, &unknown.packet);
+            return self.missed(&flow, vm, &unknown.packet, from);
         }
         self.directory.end(&flow, vm, None);
     }
@@ -292,8 +389,7 @@
             self.peers.suspect(vm);
             self.ask_next(flow);
         } else if is_present {
-            let (packet, entry) = (offer.packet.clone(), offer.entry);
-            self.send_offer(vm, packet, entry);
+            self.send_again(flow);
         } else if flow.protocol == Protocol::Tcp {
             offer.declined.push(vm);
             self.ask_next(flow);
@@ -305,6 +401,14 @@
         }
     }
 
+    /// Sends an offer to the member that is asked now, by the route that the flow has now.
+    fn send_again(&mut self, flow: Flow) {
+        let view = Arc::clone(self.membership.view());
+        if let Some(route) = view.route(flow.service, flow.protocol) {
+            self.offer_to_asked(flow, route);
+        }
+    }
+
     /// Offers a waiting flow to a member that last reported room, or refuses it.
     fn offer_again(&mut self, flow: Flow, now: Instant) {
         let Some(pool) = self.pool.clone() else { return };
@@ -347,10 +451,9 @@
         offer.tries = 1;
         offer.sent = Instant::now();
         offer.asked = Some(vm);
-        let (packet, entry) = (offer.packet.clone(), offer.entry);
         if vm != self.me {
-            self.send_offer(vm, packet, entry);
-        } else if !self.admit_own(flow, &packet, entry)
+            self.send_again(flow);
+        } else if !self.admit_own(flow)
             && let Some(offer) = self.directory.offer_mut(&flow)
         {
             offer.asked = None;
@@ -376,3 +479,11 @@
         self.directory.expire_absent(now, ABSENCE);
     }
 }
+
+/// Time that the first request of an offered flow may wait for a slot.
+fn patience(offer: &connection::Offer, route: &Route) -> Duration {
+    match offer.round {
+        Round::Drawn | Round::Others => Duration::ZERO,
+        Round::Waiting => route.timeout.mul_f64(PATIENCE_SHARE),
+    }
+}
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyssopdyke::connection::{self, Event, Flow, Protocol};
+use hyssopdyke::connection::{self, Class, Event, Flow, Protocol};
 use hyssopdyke::request::{Border, Packet, Reset};
-use hyssopdyke::version::Route;
+use hyssopdyke::version::{Bounds, Route};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{
     Accepted, Declined, Offer, Owner, Reason, Room, Unknown, datagram::Body,
@@ -14,6 +14,7 @@
 use slog::{debug, info, warn};
 
 use super::home::WAIT;
+use super::peers::expected_wait;
 use super::worker::Worker;
 use crate::node::decode_address;
 
@@ -27,6 +28,9 @@
 /// before they repeat it, so that the copy goes elsewhere.
 const ANSWERING: Duration = Duration::from_millis(120);
 
+/// Seconds for which the rate of a cold upstream is declared.
+const PER_MILLE_SECONDS: f64 = 1000.0;
+
 /// Declined flows that may wait for room at a time.
 const WAITERS: usize = 256;
 
@@ -36,6 +40,15 @@
 /// Probes without an answer after which a flow is given up.
 const PROBES: u32 = 3;
 
+/// On what terms a flow is offered.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Terms {
+    /// Who offers it.
+    pub(super) home: vm::Id,
+    /// Time that its first request may wait for a slot.
+    pub(super) patience: Duration,
+}
+
 impl<B: Border> Worker<B> {
     /// Whether a packet belongs to a flow that this agent owns.
     pub(super) fn is_own(&self, flow: &Flow, packet: &Packet) -> bool {
@@ -68,7 +81,8 @@
             return;
         };
         let flow = packet.inbound();
-        let answer = match self.admit(home, flow, &packet, &route, &offer.packet) {
+        let terms = Terms { home, patience: Duration::from_millis(offer.patience_ms.into()) };
+        let answer = match self.admit(terms, flow, &packet, &route, &offer.packet) {
             Ok(()) => {
                 let entry = decode_address(offer.entry_address, offer.entry_port);
                 self.tell_entry(&flow, entry);
@@ -76,7 +90,8 @@
             }
             Err(reason) => {
                 let (flow, reason) = (Some(flow.into()), reason as i32);
-                Body::Declined(Declined { flow, reason, packet: Bytes::new() })
+                let load = Some(self.load(Instant::now()));
+                Body::Declined(Declined { flow, reason, packet: Bytes::new(), load })
             }
         };
         self.send_to(from, answer);
@@ -116,12 +131,12 @@
         }
     }
 
-    /// Takes a flow that `home` offers and delivers its first packet, or says why not.
+    /// Takes a flow that a home offers and delivers its first packet, or says why not.
     ///
     /// A declined flow has had no packet delivered, so it may be placed elsewhere.
     pub(super) fn admit(
         &mut self,
-        home: vm::Id,
+        terms: Terms,
         flow: Flow,
         packet: &Packet,
         route: &Route,
@@ -138,20 +153,26 @@
             return Ok(());
         }
         self.forget(&flow);
-        self.check_room(home, &flow, route)?;
+        self.check_room(terms, &flow, route)?;
         let isn = packet.segment.map_or(0, |segment| segment.sequence);
-        self.table.insert(flow, connection::State::new(isn, now, route.is_request));
+        self.table.insert(flow, connection::State::new(isn, now, route.class));
         debug!(self.events.logger(), "flow admitted"; "flow" => %flow,
             "connections" => self.table.connections(), "slots" => self.table.slots());
         self.metrics.count("admitted");
-        self.note_opened(&flow, home, isn);
+        self.note_opened(&flow, terms.home, isn);
+        if B::SETTLES_OPENING && self.first(&flow) != Some(terms.home) {
+            // The home that other entries ask must not take the flow for an unknown one.
+            self.flush_increments();
+            self.send_reports();
+        }
         self.opening.push_back((now, flow));
         self.deliver(&flow, packet, bytes);
         Ok(())
     }
 
-    fn check_room(&mut self, home: vm::Id, flow: &Flow, route: &Route) -> Result<(), Reason> {
+    fn check_room(&mut self, terms: Terms, flow: &Flow, route: &Route) -> Result<(), Reason> {
         let now = Instant::now();
+        let home = terms.home;
         let hash = self.hash(flow);
         let pool = self.pool.as_ref().ok_or(Reason::Inactive)?;
         let (first, second) = pool.top(hash);
@@ -170,11 +191,19 @@
         if is_ejected && !self.peers.takes_ejected(pool, &self.settings.service) {
             return Err(Reason::Full);
         }
-        let is_full = self.table.connections() >= self.bounds().connections
-            || (route.is_request && self.table.slots() >= self.limit.current());
-        if !is_full {
+        let bounds = self.bounds();
+        let has_no_slot = match route.class {
+            Class::Stream => false,
+            Class::Request => self.table.slots() >= self.limit.current(),
+            Class::Exchange => expected_wait(&self.load(now)) > terms.patience,
+        };
+        let has_room = self.table.connections() < bounds.connections && !has_no_slot;
+        if has_room && self.bears_cold(&bounds, now) {
             return Ok(());
         }
+        if route.class == Class::Exchange {
+            return Err(Reason::Full);
+        }
         if self.waiters.len() == WAITERS {
             self.waiters.pop_front();
         }
@@ -182,6 +211,14 @@
         Err(Reason::Full)
     }
 
+    /// Whether the upstream bears another new flow, if it is cold.
+    fn bears_cold(&mut self, bounds: &Bounds, now: Instant) -> bool {
+        if bounds.cold_rate == 0 || !self.upstream.is_cold(now) {
+            return true;
+        }
+        self.cold.take(f64::from(bounds.cold_rate) / PER_MILLE_SECONDS, now)
+    }
+
     /// Tells a home whose flow was declined that there is room now.
     fn tell_room(&mut self, now: Instant) {
         if self.table.slots() >= self.limit.current() {
@@ -246,7 +283,7 @@
             Some(None) => {
                 debug!(self.events.logger(), "flow taken on from its upstream"; "flow" => %flow);
                 self.metrics.count("claimed");
-                self.table.insert(*flow, connection::State::adopted(0, now, false));
+                self.table.insert(*flow, connection::State::adopted(0, now, Class::Exchange));
                 self.note_opened(flow, 0, 0);
                 true
             }
@@ -297,7 +334,8 @@
     /// Tells the home of a searched flow that the upstream does not hold it.
     fn tell_missed(&mut self, flow: Flow, home: vm::Id, bytes: &Bytes) {
         if home == self.me {
-            return self.missed(&flow, self.me, bytes);
+            let own = self.settings.answers;
+            return self.missed(&flow, self.me, bytes, own);
         }
         let (flow, packet) = (Some(flow.into()), bytes.clone());
         self.send(home, Body::Unknown(Unknown { flow, searched: true, packet }));
@@ -313,7 +351,10 @@
             return self.place_again(flow, self.me, bytes.clone());
         }
         let (reason, flow) = (Reason::Returned as i32, Some(flow.into()));
-        self.send(home, Body::Declined(Declined { flow, reason, packet: bytes.clone() }));
+        self.send(
+            home,
+            Body::Declined(Declined { flow, reason, packet: bytes.clone(), load: None }),
+        );
     }
 
     /// Resets the caller of a packet whose flow does not exist.
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -122,9 +122,23 @@
         self.loads.get(&vm).is_some_and(|load| load.ejected)
     }
 
+    /// The candidate at which a request waits least for a slot, by what was last heard.
+    pub(super) fn least_wait(&self, candidates: &[Candidate]) -> Option<vm::Id> {
+        let wait = |vm| self.loads.get(&vm).map_or(Duration::ZERO, expected_wait);
+        candidates.iter().map(|candidate| candidate.vm).min_by_key(|vm| wait(*vm))
+    }
+
     /// Those of some candidates that last reported room.
     pub(super) fn with_room(&self, candidates: &[Candidate]) -> Vec<Candidate> {
         let has_room = |vm| self.loads.get(&vm).is_some_and(|load| load.room > 0);
         candidates.iter().filter(|candidate| has_room(candidate.vm)).copied().collect()
     }
 }
+
+/// Time that another request would wait for a slot; zero where the upstream's speed is not known.
+pub(super) fn expected_wait(load: &Load) -> Duration {
+    if load.room > 0 || load.weight == 0 {
+        return Duration::ZERO;
+    }
+    Duration::from_secs(1000) * (load.queue + 1) / load.weight
+}
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -184,6 +184,11 @@
         }
     }
 
+    /// The home of a flow.
+    pub(super) fn first(&self, flow: &Flow) -> Option<vm::Id> {
+        self.pool.as_ref()?.top(self.hash(flow)).0
+    }
+
     /// The other member that keeps a record of a flow of this agent.
     fn holder(&self, flow: &Flow) -> Option<vm::Id> {
         let (first, second) = self.pool.as_ref()?.top(self.hash(flow));
@@ -287,8 +292,7 @@
         let Some(route) = view.route(flow.service, flow.protocol) else {
             return;
         };
-        // Whether the request still runs is unknown; its slot is taken until it has ended.
-        let connection = connection::State::adopted(isn, Instant::now(), route.is_request);
+        let connection = connection::State::adopted(isn, Instant::now(), route.class);
         debug!(self.events.logger(), "flow adopted"; "flow" => %flow);
         self.metrics.count("adopted");
         self.table.insert(flow, connection);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -8,13 +8,13 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Searches, Table};
-use hyssopdyke::process::{Barrier, Change, Limit, Outbox, Phase, Upstream};
+use hyssopdyke::process::{Barrier, Change, Cold, Limit, Outbox, Phase, Upstream};
 use hyssopdyke::request::{Border, Draw, Packet};
 use hyssopdyke::version::{Bounds, Pool, Route};
 use hyssopdyke::vm;
 use hyssopdyke_platform::reports::Delivery;
 use hyssopdyke_wire::datagram::{
-    Datagram, Forward, Load, Offer, Owner, Record, Report, Unknown, datagram::Body,
+    Datagram, Forward, Load, Owner, Record, Report, Unknown, datagram::Body,
 };
 use hyssopdyke_wire::resource::Usage;
 use rand::SeedableRng;
@@ -26,7 +26,7 @@
 use super::peers::Peers;
 use crate::log::Events;
 use crate::metrics::Metrics;
-use crate::node::{Link, Membership, Session, Tunnel, decode_address, encode_address};
+use crate::node::{Link, Membership, Session, Tunnel, decode_address};
 use crate::settings::{Agent, Common};
 
 /// Datagrams that are taken from a socket before the other ones are looked at.
@@ -126,9 +126,13 @@
     pub(super) outbox: Outbox<Report>,
     pub(super) increments: HashMap<vm::Id, Increment>,
     pub(super) held: VecDeque<(Forward, SocketAddr)>,
+    /// Packets of flows that may be about to be reported, oldest first.
+    pub(super) doubtful: VecDeque<(Instant, Forward, SocketAddr)>,
     /// Homes whose flows were declined as the upstream was full, and when.
     pub(super) waiters: VecDeque<(vm::Id, Instant)>,
     pub(super) limit: Limit,
+    /// New flows that the upstream gets while it is cold.
+    pub(super) cold: Cold,
     pub(super) draw: Draw<SmallRng>,
 }
 
@@ -180,8 +184,10 @@
             outbox: Outbox::new(REPORT_INTERVAL, REPORT_WINDOW),
             increments: HashMap::new(),
             held: VecDeque::new(),
+            doubtful: VecDeque::new(),
             waiters: VecDeque::new(),
             limit: Limit::new(1, 1),
+            cold: Cold::new(),
             draw: Draw::new(SmallRng::seed_from_u64(boot)),
         }
     }
@@ -445,12 +451,6 @@
         }
     }
 
-    /// Asks a member to take a flow.
-    pub(super) fn send_offer(&mut self, to: vm::Id, packet: Bytes, entry: Option<SocketAddr>) {
-        let (entry_address, entry_port) = entry.map_or((0, 0), encode_address);
-        self.send(to, Body::Offer(Offer { packet, entry_address, entry_port }));
-    }
-
     /// Whether the upstream may hold flows that this process does not know: it has run before the
     /// process has, and not all of its flows of that time are over.
     pub(super) fn is_incomplete(&self, now: Instant) -> bool {
@@ -501,6 +501,7 @@
         self.prune();
         if self.may_act(Instant::now()) {
             self.take_held();
+            self.resolve_doubtful(Instant::now());
             self.retry_offers();
         }
     }
@@ -576,7 +577,7 @@
         self.membership.ask_peers(&mut self.link, now);
     }
 
-    fn load(&self, now: Instant) -> Load {
+    pub(super) fn load(&self, now: Instant) -> Load {
         let room = match &self.pool {
             Some(_) if self.table.connections() < self.bounds().connections => {
                 self.limit.current().saturating_sub(self.table.slots())
@@ -584,7 +585,9 @@
             _ => 0,
         };
         Load {
-            weight: self.limit.weight(),
+            // The speed of an upstream that has answered nothing yet is not known.
+            weight: self.limit.usual().map_or(0, |_| self.limit.weight()),
+            queue: self.table.slots().saturating_sub(self.limit.current()),
             room,
             ejected: self.limit.is_ejected(now),
             closed: self.is_leaving || !self.is_serving(now),
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -164,7 +164,9 @@
         }
         "table" => {
             let mut table = Table::new();
-            (0..count).for_each(|n| table.insert(flow(n), connection::State::new(1, start, true)));
+            (0..count).for_each(|n| {
+                table.insert(flow(n), connection::State::new(1, start, connection::Class::Request));
+            });
             Box::new(table)
         }
         "directory" => {
