--- a/crates/hyssopctl/tests/declaration.rs
+++ b/crates/hyssopctl/tests/declaration.rs
@@ -57,7 +57,7 @@
             format!("[service s]\nlisten = {listen}\nconnections = 1\nslots = 1\ncold_slots = 1\n");
         let expected = format!(
             "[service s] listen: \"{listen}\" is not address:port/protocol/class with tcp or udp, \
-             and stream or request"
+             and stream, request or exchange"
         );
         assert_eq!(faults(&text), [expected]);
     }
--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod limit;
 mod outbox;
+mod suspects;
 mod upstream;
 
 pub use barrier::Barrier;
@@ -16,4 +17,5 @@
 pub use lease::Lease;
 pub use limit::Limit;
 pub use outbox::Outbox;
+pub use suspects::Suspects;
 pub use upstream::{Change, Phase, Upstream, UpstreamReport};
--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -74,6 +74,15 @@
         Ranking::top(flow, self.members.iter().map(|member| member.vm))
     }
 
+    /// The highest-ranked member for a flow that `is_spared` does not name, or the home where it
+    /// names all.
+    #[must_use]
+    pub fn stand_in(&self, flow: u64, is_spared: impl Fn(vm::Id) -> bool) -> Option<vm::Id> {
+        let all = || self.members.iter().map(|member| member.vm);
+        let (stand_in, _) = Ranking::top(flow, all().filter(|vm| !is_spared(*vm)));
+        stand_in.or_else(|| self.top(flow).0)
+    }
+
     /// The member that decides who owns a flow.
     #[must_use]
     pub fn home(&self, flow: u64) -> Option<&Member> {
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -25,8 +25,8 @@
 pub struct Route {
     /// What a flow takes of its upstream.
     pub class: Class,
-    /// Time in which a request must be answered; zero where that is not declared.
-    pub timeout: Duration,
+    /// Time in which an answer is on time; zero where that is not declared.
+    pub objective: Duration,
     /// The services that serve it; none of them has weight 0.
     pub shares: Box<[Share]>,
     /// The members of these services and of those that they share routes with.
@@ -156,6 +156,12 @@
         peers.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Address of an agent.
+    #[must_use]
+    pub fn address(&self, vm: vm::Id) -> Option<SocketAddr> {
+        self.pools.values().find_map(|pool| pool.known(vm)).map(|member| member.address)
+    }
+
     /// Failure domain of a peer.
     #[must_use]
     pub fn domain_of(&self, address: SocketAddr) -> Option<&str> {
@@ -241,8 +247,8 @@
                 .map(|split| Share { service: split.service.as_str().into(), weight: split.weight })
                 .collect();
             if let Some(listener) = &route.listener {
-                let timeout = Duration::from_millis(route.timeout_ms.into());
-                self.add_route(listener, shares, timeout);
+                let objective = Duration::from_millis(route.objective_ms.into());
+                self.add_route(listener, shares, objective);
             }
         }
     }
@@ -251,14 +257,14 @@
         &mut self,
         listener: &resource::Listener,
         shares: Box<[Share]>,
-        timeout: Duration,
+        objective: Duration,
     ) {
         let pool = shares.first().and_then(|share| self.pools.get(&share.service));
         let (Some(key), Some(pool)) = (listener_key(listener), pool.cloned()) else {
             return;
         };
         let class = class(listener.class());
-        self.routes.insert(key, Route { class, timeout, shares, pool });
+        self.routes.insert(key, Route { class, objective, shares, pool });
     }
 
     fn add_declaration(&mut self, store: &Store) {
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -22,8 +22,9 @@
 /// Members that are asked in each further round.
 const MORE_TRIES: usize = 2;
 
-/// Share of a request's time that it may wait for a slot: the rest is for its work and for the
-/// ways.
+/// Share of the time in which an answer is on time that a request may wait for a slot: the rest is
+/// for its work and for the ways. Whoever would wait longer is refused, and takes no time from
+/// those who are served on time.
 const PATIENCE_SHARE: f64 = 0.5;
 
 /// Time between two offers of the same flow.
@@ -484,6 +485,6 @@
 fn patience(offer: &connection::Offer, route: &Route) -> Duration {
     match offer.round {
         Round::Drawn | Round::Others => Duration::ZERO,
-        Round::Waiting => route.timeout.mul_f64(PATIENCE_SHARE),
+        Round::Waiting => route.objective.mul_f64(PATIENCE_SHARE),
     }
 }
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -175,9 +175,7 @@
         let home = terms.home;
         let hash = self.hash(flow);
         let pool = self.pool.as_ref().ok_or(Reason::Inactive)?;
-        let (first, second) = pool.top(hash);
-        let may_place = first == Some(home) || (B::SETTLES_OPENING && second == Some(home));
-        if !may_place {
+        if !B::SETTLES_OPENING && pool.top(hash).0 != Some(home) {
             return Err(Reason::NotHome);
         }
         let is_drained = pool.member(self.me).is_none_or(|member| member.draining);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -398,9 +398,9 @@
         // upstream: its packets must not be taken for late ones of the closed flow.
         self.forget(&flow);
         let hash = self.hash(&flow);
-        let (home, second) = self.pool.as_ref().map_or((None, None), |pool| pool.top(hash));
-        let acts_as_home = forward.second && second == Some(self.me);
-        if home == Some(self.me) || acts_as_home {
+        let home = self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm);
+        let stands_in = B::SETTLES_OPENING && forward.stand_in;
+        if home == Some(self.me) || stands_in {
             self.home(flow, &packet, forward, from);
         } else if let (Some(home), Some(hops)) = (home, forward.hops.checked_sub(1)) {
             self.hint(&forward, &flow, 0);
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -1,6 +1,5 @@
 //! The forwarding of packets.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,6 +7,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Cache, Flow};
+use hyssopdyke::process::Suspects;
 use hyssopdyke::request::Border;
 use hyssopdyke::version::{Member, Pool, Route};
 use hyssopdyke::vm;
@@ -31,10 +31,6 @@
 /// Time between two flushes of the metrics, and two questions to peers.
 const TICK: Duration = Duration::from_secs(1);
 
-/// Time for which a home that has not answered a caller is spared: about the time between two
-/// exchanges of loads, by which the agents themselves find out who is gone.
-const SUSPICION: Duration = Duration::from_secs(1);
-
 /// Time without packets after which the fabric is taken to send no more: longer than callers'
 /// first repetitions, shorter than the grace time of a stop.
 const QUIET: Duration = Duration::from_secs(1);
@@ -47,8 +43,7 @@
     membership: Membership,
     metrics: Metrics,
     cache: Cache,
-    /// Homes that have not answered a caller, and until when they are spared.
-    suspects: HashMap<vm::Id, Instant>,
+    suspects: Suspects,
     keys: (u64, u64),
     address: SocketAddr,
     events: Events,
@@ -80,7 +75,7 @@
             membership,
             metrics,
             cache,
-            suspects: HashMap::new(),
+            suspects: Suspects::new(),
             keys,
             address,
             events,
@@ -167,12 +162,18 @@
             return self.metrics.count("dropped.unknown_service");
         };
         let opens = packet.segment.is_none_or(|segment| segment.opens());
-        let Some((target, second)) = self.target(route, &flow, opens, packet.copies) else {
+        let Some((target, stand_in)) = self.target(route, &flow, opens, packet.copies) else {
             return self.metrics.count("dropped.no_member");
         };
         let (entry_address, entry_port) = encode_address(self.address);
-        let forward =
-            Forward { packet: bytes, hops: HOPS, entry_address, entry_port, second, search: false };
+        let forward = Forward {
+            packet: bytes,
+            hops: HOPS,
+            entry_address,
+            entry_port,
+            stand_in,
+            search: false,
+        };
         let message = self.membership.message(Body::Forward(forward));
         self.metrics.count("forwarded");
         if !self.link.send(&message, target.address) {
@@ -180,7 +181,7 @@
         }
     }
 
-    /// The member that a packet goes to, and whether it is asked as the second-ranked one.
+    /// The member that a packet goes to, and whether it is asked in place of the flow's home.
     fn target<'a>(
         &mut self,
         route: &'a Route,
@@ -190,23 +191,27 @@
     ) -> Option<(&'a Member, bool)> {
         let pool: &Pool = &route.pool;
         let hash = flow.hash(self.keys);
-        let owner = self.cache.owner(hash).filter(|_| copies == 0);
-        if let Some(owner) = owner.and_then(|vm| pool.known(vm)) {
+        if let Some(owner) = self.cache.owner(hash).filter(|_| copies == 0)
+            && let Some(owner) = pool.known(owner)
+        {
             return Some((owner, false));
         }
-        let (first, second) = pool.top(hash);
+        let home = pool.top(hash).0?;
+        let chosen = if opens { self.opener(pool, hash, copies) } else { Some(home) };
+        chosen.and_then(|vm| pool.member(vm)).map(|member| (member, member.vm != home))
+    }
+
+    /// The member that places a new flow: its home, or the next in rank that answers.
+    ///
+    /// A copy of a flow's first packet shows that whoever got the one before has not answered.
+    fn opener(&mut self, pool: &Pool, hash: u64, copies: u32) -> Option<vm::Id> {
         let now = Instant::now();
-        if let Some(first) = first.filter(|_| copies > 0) {
-            self.suspects.insert(first, now + SUSPICION);
+        if copies > 0
+            && let Some(last) = pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
+        {
+            self.suspects.suspect(last, now);
         }
-        // The second copy goes to the home again, which may be back.
-        let is_odd = copies % 2 == 1;
-        let is_suspect = first.is_some_and(|first| {
-            copies == 0 && self.suspects.get(&first).is_some_and(|until| now < *until)
-        });
-        let asks_second = opens && second.is_some() && (is_odd || is_suspect);
-        let chosen = if asks_second { second } else { first };
-        chosen.and_then(|vm| pool.member(vm)).map(|member| (member, asks_second))
+        pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
     }
 
     fn receive_batch(&mut self) -> Result<()> {
@@ -224,6 +229,7 @@
 
     fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let revision = datagram.revision;
+        self.suspects.clear(from);
         self.membership.follow(&mut self.link, from, revision);
         match datagram.body {
             Some(Body::Owner(owner)) => self.learn(&owner),
@@ -252,8 +258,20 @@
         }
     }
 
+    /// Asks members that are spared whether they answer again.
+    fn ask_suspects(&mut self) {
+        let now = Instant::now();
+        for vm in self.suspects.spared(now) {
+            let Some(address) = self.membership.view().address(vm) else { continue };
+            self.suspects.ask(vm, address);
+            let ping = self.membership.ping(None, now);
+            self.link.send(&self.membership.message(Body::Ping(ping)), address);
+        }
+    }
+
     fn tick(&mut self) {
         self.publish_ready();
+        self.ask_suspects();
         self.membership.ask_peers(&mut self.link, Instant::now());
         self.metrics.gauge("cached_flows", self.cache.len() as u64);
         self.metrics.gauge("revision", self.membership.revision());
