--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyssopdyke::connection::{self, Cache, Directory, Event, Flow, Offer, Protocol, Table};
+use hyssopdyke::connection::{
+    self, Cache, Directory, Event, Flow, Offer, Protocol, Searches, Table,
+};
 use hyssopdyke::request::{Packet, Refusal, Reset, Segment};
 
 const CLASSES: [connection::Class; 3] =
@@ -276,3 +278,46 @@
     table.outbound(&flow(1), Some(&segment(541, None, "R", 0)), start + 6 * SECOND);
     assert_eq!((table.slots(), table.connections()), (0, 0));
 }
+
+#[test]
+fn state_secondopening() {
+    // A first packet has reached two upstreams, and each has answered: the caller's next packet
+    // belongs to the one whose number it acknowledges.
+    let start = Instant::now();
+    let mut state = Table::new();
+    state.insert(flow(1), connection::State::new(100, start, connection::Class::Exchange));
+    state.inbound(&flow(1), Some(&segment(100, None, "S", 0)), start);
+    state.outbound(&flow(1), Some(&segment(500, Some(101), "S", 0)), start);
+    let accepts = |table: &Table, number| {
+        table.get(&flow(1)).unwrap().accepts(&segment(101, Some(number), "", 10))
+    };
+    assert!(accepts(&state, 501));
+    assert!(!accepts(&state, 901), "a packet for another upstream's answer was taken");
+    state.inbound(&flow(1), Some(&segment(101, Some(501), "", 10)), start);
+    assert!(accepts(&state, 480), "a late acknowledgement of an open flow was refused");
+}
+
+#[test]
+fn searches_allmiss() {
+    let start = Instant::now();
+    let mut searches = Searches::new();
+    assert!(searches.start(flow(1), &[1, 2], start));
+    assert!(!searches.start(flow(1), &[1, 2], start), "a flow was searched twice at a time");
+    assert!(!searches.miss(&flow(1), 1, start));
+    assert!(!searches.miss(&flow(1), 1, start), "one member's answer counted twice");
+    assert!(!searches.miss(&flow(2), 2, start));
+    assert!(searches.miss(&flow(1), 2, start));
+    assert!(!searches.miss(&flow(1), 2, start));
+    assert!(searches.start(flow(1), &[1], start + SECOND), "a flow cannot be searched again");
+    assert!(!searches.miss(&flow(1), 1, start + 2 * SECOND), "a late answer counted");
+}
+
+#[test]
+fn searches_found() {
+    let start = Instant::now();
+    let mut searches = Searches::new();
+    searches.start(flow(1), &[1, 2], start);
+    searches.miss(&flow(1), 1, start);
+    searches.end(&flow(1));
+    assert!(!searches.miss(&flow(1), 2, start), "a flow that was found counts as missed");
+}
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use hyssopdyke::process::{Barrier, Lease, Limit, Outbox};
+use hyssopdyke::process::{
+    Barrier, Change, Cold, Lease, Limit, Outbox, Phase, Suspects, Upstream, UpstreamReport,
+};
 use hyssopdyke::request::{Candidate, Draw};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -225,3 +227,102 @@
         assert!((count - expected).abs() < 500, "{counts:?}");
     }
 }
+
+fn report(instance: &str, started: u64, number: u64, phase: Phase) -> UpstreamReport {
+    UpstreamReport {
+        instance: instance.into(),
+        started,
+        number,
+        service: Some("dispatch".into()),
+        slots: 5,
+        cold: Duration::ZERO,
+        phase,
+    }
+}
+
+#[test]
+fn upstream_drains() {
+    let start = Instant::now();
+    let mut upstream = Upstream::new(SECOND);
+    assert!(!upstream.is_serving(start));
+    assert_eq!(upstream.report(report("a", 10, 1, Phase::Serving), start), Change::Started);
+    assert!(upstream.is_serving(start));
+    assert_eq!(upstream.report(report("a", 10, 2, Phase::Draining), start), Change::Phase);
+    assert!(!upstream.is_serving(start) && upstream.is_alive(start));
+    // A delayed report must not open it again.
+    assert_eq!(upstream.report(report("a", 10, 1, Phase::Serving), start), Change::None);
+    assert!(!upstream.is_serving(start));
+    assert_eq!(upstream.report(UpstreamReport::gone("a".into()), start), Change::Phase);
+    assert!(!upstream.is_alive(start) && !upstream.is_present(start, true));
+}
+
+#[test]
+fn upstream_formerboot() {
+    // A report that a partition held up comes after its sender has crashed and another process
+    // has taken its place.
+    let start = Instant::now();
+    let mut upstream = Upstream::new(SECOND);
+    upstream.report(report("a", 10, 7, Phase::Serving), start);
+    assert_eq!(upstream.report(report("b", 20, 1, Phase::Serving), start), Change::Started);
+    assert_eq!(upstream.report(report("a", 10, 8, Phase::Draining), start), Change::None);
+    assert_eq!(upstream.report(UpstreamReport::gone("a".into()), start), Change::None);
+    assert!(upstream.is_serving(start));
+    // The same name may start again, with its numbers from the beginning.
+    assert_eq!(upstream.report(report("b", 30, 1, Phase::Serving), start), Change::Started);
+}
+
+#[test]
+fn upstream_clocksetback() {
+    // The clock that tells starts was set back: the new process seems older than the former one,
+    // and is believed once that one has fallen silent.
+    let start = Instant::now();
+    let mut upstream = Upstream::new(SECOND);
+    upstream.report(report("a", 1000, 7, Phase::Serving), start);
+    assert_eq!(upstream.report(report("b", 500, 1, Phase::Serving), start), Change::None);
+    let later = start + 4 * SECOND;
+    assert_eq!(upstream.report(report("b", 500, 4, Phase::Serving), later), Change::Started);
+    assert!(upstream.is_serving(later));
+}
+
+#[test]
+fn upstream_silent() {
+    let start = Instant::now();
+    let mut upstream = Upstream::new(SECOND);
+    assert!(upstream.is_present(start, true) && !upstream.is_present(start, false));
+    upstream.report(report("a", 10, 1, Phase::Serving), start);
+    assert!(upstream.is_serving(start + 2 * SECOND));
+    assert!(!upstream.is_serving(start + 3 * SECOND));
+    assert!(upstream.is_present(start + 11 * SECOND, false));
+    assert!(!upstream.is_present(start + 12 * SECOND, false));
+}
+
+#[test]
+fn cold_anysecond() {
+    // In any second a cold upstream gets no more than its rate and the burst.
+    let start = Instant::now();
+    let (rate, mut cold) = (4.0, Cold::new());
+    let taken: Vec<u32> = (0..5000).filter(|ms| cold.take(rate, start + *ms * MILLI)).collect();
+    for window in 0..4000 {
+        let inside = taken.iter().filter(|at| (window..window + 1000).contains(*at)).count();
+        assert!(inside <= 6, "{inside} flows in the second from {window} ms");
+    }
+    assert!(taken.len() >= 20, "{} flows in five seconds", taken.len());
+}
+
+#[test]
+fn suspects_clearedbyanswer() {
+    let start = Instant::now();
+    let address = ([10, 0, 0, 7], 5556).into();
+    let mut suspects = Suspects::new();
+    suspects.suspect(7, start);
+    assert!(suspects.is_spared(7, start) && !suspects.is_spared(8, start));
+    assert_eq!(suspects.spared(start), [7]);
+    // Only an answer to a question counts, not what was on its way before.
+    suspects.clear(address);
+    assert!(suspects.is_spared(7, start));
+    suspects.ask(7, address);
+    suspects.clear(address);
+    assert!(!suspects.is_spared(7, start));
+    suspects.suspect(7, start);
+    assert!(!suspects.is_spared(7, start + 5 * SECOND));
+}
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod worker;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use hyssopdyke::request::{Border, Tunneled};
@@ -24,6 +25,9 @@
 use crate::stop::Stop;
 use worker::Worker;
 
+/// Part of the time for a stop in which the lease is given back.
+const LEAVING: Duration = Duration::from_millis(500);
+
 /// Runs an entry until it is asked to stop.
 pub(crate) async fn run(
     settings: Settings<Entry>,
@@ -85,7 +89,7 @@
     info!(events.logger(), "entry leaves");
     tokio::select! {
         result = worker.finish(&mut session) => result?,
-        () = sleep(role.grace) => {}
+        () = sleep(role.grace.saturating_sub(LEAVING)) => {}
     }
     session.leave().await;
     info!(events.logger(), "entry stopped");
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -23,7 +23,7 @@
 }
 
 impl Events {
-    /// Opens the log of a process on standard error.
+    /// Opens the log of a process on standard output.
     pub(crate) fn open(role: &'static str, common: &Common) -> Self {
         let (level, form) = (common.log.level, common.log.form);
         let root = Logger::root(
@@ -54,7 +54,7 @@
 fn drain(level: Level, form: Form) -> slog::Fuse<slog_async::Async> {
     match form {
         Form::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             queue(slog_term::FullFormat::new(decorator).build().fuse(), level)
         }
         Form::Json => queue(json(), level),
@@ -70,7 +70,7 @@
         "event" => FnValue(|record| record.msg().to_string()),
     );
     // Whole lines are written, so that a process that is killed leaves no part of one.
-    let lines = std::io::LineWriter::new(std::io::stderr());
+    let lines = std::io::LineWriter::new(std::io::stdout());
     let json = slog_json::Json::new(lines).add_key_value(values).build();
     std::sync::Mutex::new(json).fuse()
 }
--- a/crates/hyssopdyked/src/settings/entry.rs
+++ b/crates/hyssopdyked/src/settings/entry.rs
@@ -16,7 +16,7 @@
     pub(crate) fabric: SocketAddr,
     /// Takes the fabric's question whether this entry shall get packets.
     pub(crate) readiness: Option<SocketAddr>,
-    /// Time for which packets are forwarded after the request to stop.
+    /// Time between the request to stop and the end of the process.
     pub(crate) grace: Duration,
     /// Takes datagrams of other daemons.
     pub(crate) peer_port: u16,
--- a/crates/hyssopdyked/src/settings/log.rs
+++ b/crates/hyssopdyked/src/settings/log.rs
@@ -6,7 +6,7 @@
 
 use super::Section;
 
-/// Form of the events on standard error.
+/// Form of the events on standard output.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Form {
     /// For people.
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -76,6 +76,8 @@
 pub struct Layout {
     /// Control VMs.
     pub control: u8,
+    /// Control VMs find each other by seeds, and replace each other by themselves.
+    pub seeds: bool,
     /// Entries.
     pub entries: u8,
     /// Failure domains, over which each role is spread in turn.
@@ -94,6 +96,7 @@
     fn default() -> Self {
         Self {
             control: 1,
+            seeds: false,
             entries: 2,
             domains: ["fj-west-a", "fj-west-b", "fj-west-c"].map(Into::into).into(),
             services: Vec::new(),
@@ -290,6 +293,40 @@
         Ok(())
     }
 
+    /// Adds a control VM with an empty folder, which knows the others as seeds.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn add_control_vm(&mut self, index: u8) -> Result<Box<str>, Error> {
+        let name: Box<str> = format!("control-{}", index + 1).into();
+        let section = self.control_section(&name);
+        self.add_vm(&name, "control", CONTROL_HOST + index, usize::from(index), &section, &[])?;
+        Ok(name)
+    }
+
+    /// Takes a control VM's data away; its process must not run.
+    ///
+    /// # Errors
+    ///
+    /// If the folder cannot be removed.
+    pub fn wipe_control(&self, name: &str) -> Result<(), Error> {
+        Ok(std::fs::remove_dir_all(self.data(name))?)
+    }
+
+    /// Address of a control VM, which is also its name among voters that were found by seeds.
+    #[must_use]
+    pub const fn control_ip(&self, index: u8) -> Ipv4Addr {
+        self.subnet.vm(CONTROL_HOST + index)
+    }
+
+    /// A client of the operators' API of the named control VMs.
+    #[must_use]
+    pub fn client_of(&self, indices: impl IntoIterator<Item = u8>) -> Client {
+        let api = |index| SocketAddr::from((self.control_ip(index), CONTROL_PORTS.1));
+        Client::new(indices.into_iter().map(api))
+    }
+
     /// Adds an entry and hands it packets.
     ///
     /// # Errors
@@ -363,22 +400,37 @@
             .collect();
         for index in 0..self.layout.control {
             let name = format!("control-{}", index + 1);
-            let data = self.folder.join(format!("{name}.data"));
-            let section = format!(
-                "[control]\ndata = {}\nsession_port = {}\napi_port = {}\nreplica_port = {}\n\
-                 voters = {}\n",
-                data.display(),
-                CONTROL_PORTS.0,
-                CONTROL_PORTS.1,
-                CONTROL_PORTS.2,
-                voters.join(", "),
-            );
+            let mut section = self.control_section(&name);
+            if !self.layout.seeds {
+                // Writing to a string cannot fail.
+                let _ = writeln!(section, "voters = {}", voters.join(", "));
+            }
             let (host, form) = (CONTROL_HOST + index, ["--form"]);
             self.add_vm(&name, "control", host, usize::from(index), &section, &form)?;
         }
         Ok(())
     }
 
+    fn data(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.data"))
+    }
+
+    fn control_section(&self, name: &str) -> String {
+        let (sessions, api, replicas) = CONTROL_PORTS;
+        let mut section = format!(
+            "[control]\ndata = {}\nsession_port = {sessions}\napi_port = {api}\n\
+             replica_port = {replicas}\n",
+            self.data(name).display(),
+        );
+        if self.layout.seeds {
+            let seeds = (0..self.layout.control).map(|index| self.control_ip(index));
+            let seeds: Vec<String> = seeds.map(|seed| format!("{seed}:{sessions}")).collect();
+            // Writing to a string cannot fail.
+            let _ = writeln!(section, "seeds = {}\nplatform = true", seeds.join(", "));
+        }
+        section
+    }
+
     fn add_upstreams(&mut self) -> Result<(), Error> {
         let mut host = AGENT_HOST;
         let mut place = 0;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -34,7 +34,7 @@
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()?;
         Ok(Self { child, log })
