fix(control): a renewal no longer asks for the state while it holds it

Cause (members_replacedtwice, one run in two beside other suites; logs: a leader that fell silent 0.8 s after its election and never came back): an answer to a renewal was built in one expression that held the state and asked for it again; a change that waited in between held up the second and waited for the first. Ruled out: the vote (the other three agreed), the disk.

write_manywhilerenewed fails each time without the change (no answer after the first writes) and passes with it.

--- a/crates/hyssopdyked/src/control/handle.rs
+++ b/crates/hyssopdyked/src/control/handle.rs
@@ -87,6 +87,9 @@
 
 impl Handle {
     /// The state as of the last applied command.
+    ///
+    /// A task must not ask for it while it holds it: a change that waits in between would wait for
+    /// the first and hold up the second.
     pub(super) async fn registry(&self) -> RwLockReadGuard<'_, Registry> {
         self.registry.read().await
     }
--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
+use hyssopdyke::version::Registry;
 use hyssopdyke_wire::ledger::{Register, Unregister, command};
 use hyssopdyke_wire::resource::{Kind, Resource, resource};
 use hyssopdyke_wire::session::{Frame, Granted, Hello, Refused, Renew, frame, hello};
@@ -185,12 +186,11 @@
     let key = (daemon.kind, daemon.resource.name.as_str().into());
     leases.renew(key, daemon.boot, renew.revision, renew.usage.unwrap_or_default());
     let lease_ms = leases.length().as_millis() as u32;
-    let granted = Granted {
-        sequence: renew.sequence,
-        lease_ms,
-        revision: handle.registry().await.store().revision(),
-        control: control_addresses(handle, stream).await,
+    let (revision, control) = {
+        let registry = handle.registry().await;
+        (registry.store().revision(), control_addresses(&registry, handle, stream))
     };
+    let granted = Granted { sequence: renew.sequence, lease_ms, revision, control };
     send(stream, frame::Body::Granted(granted)).await
 }
 
@@ -219,7 +219,7 @@
 
 async fn refuse(stream: &mut Stream, handle: &Handle, error: &LogError) -> Result<(), End> {
     let leader = handle.leadership.borrow().leader.clone().unwrap_or_default();
-    let control = control_addresses(handle, stream).await;
+    let control = control_addresses(&*handle.registry().await, handle, stream);
     let refused = Refused { reason: error.to_string(), leader: leader.into(), control };
     send(stream, frame::Body::Refused(refused)).await
 }
@@ -227,10 +227,9 @@
 /// Where the control VMs take sessions, the leader first.
 ///
 /// All control VMs take sessions at the same port.
-async fn control_addresses(handle: &Handle, stream: &Stream) -> Vec<String> {
+fn control_addresses(registry: &Registry, handle: &Handle, stream: &Stream) -> Vec<String> {
     let Ok(own) = stream.get_ref().local_addr() else { return Vec::new() };
     let leader = handle.leadership.borrow().leader.clone();
-    let registry = handle.registry().await;
     let voters = registry.configuration().voters.iter();
     let mut voters: Vec<(bool, SocketAddr)> = voters
         .filter_map(|voter| {
--- a/crates/hyssopdyked/tests/control.rs
+++ b/crates/hyssopdyked/tests/control.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hyssopctl::{Client, Error, Precondition};
-use hyssopdyke_wire::resource::{Kind, Resource, resource::Body};
+use hyssopdyke_wire::resource::{Domain, Kind, Resource, resource::Body};
 use standin::{Layout, Process, ServiceLayout, Tally};
 use support::{Bench, PATIENCE, service, wait};
 
@@ -276,3 +276,28 @@
     }
     assert!(client.get(Kind::Service, "other").is_err());
 }
+
+#[test]
+fn write_manywhilerenewed() {
+    // Each write makes every daemon renew its lease at once, so that renewals read the state while
+    // the next write waits for it.
+    let bench = Bench::start("write_manywhilerenewed", layout(1));
+    let client = bench.cluster.client().clone();
+    let writers = (0..4).map(|writer| {
+        let client = client.clone();
+        std::thread::spawn(move || {
+            for round in 0..150 {
+                let body = Some(Body::Domain(Domain { out: round % 2 == 0 }));
+                let name = format!("domain-{writer}");
+                let resource = Resource { name, body, ..Resource::default() };
+                let key = Client::idempotency_key();
+                client.put(Kind::Domain, &resource, Precondition::None, &key).unwrap();
+            }
+        })
+    });
+    for writer in writers.collect::<Vec<_>>() {
+        writer.join().unwrap();
+    }
+    let revision = client.status().unwrap().revision;
+    client.wait(revision, PATIENCE).unwrap();
+}
