--- a/crates/hyssopdyke/src/process/upstream.rs
+++ b/crates/hyssopdyke/src/process/upstream.rs
@@ -63,6 +63,9 @@
     Same,
     /// The phase is another one.
     Phase,
+    /// The upstream is heard for the first time: it may have run before whoever listens has, and
+    /// hold flows of that time.
+    First,
     /// The upstream's process is another one, which knows no flow of the former one.
     Started,
 }
@@ -88,7 +91,7 @@
         let is_silent = !self.is_alive(now);
         let change = match &self.last {
             None if report.phase == Phase::Gone => return Change::None,
-            None => Change::Started,
+            None => Change::First,
             Some(last) if last.instance == report.instance && report.phase == Phase::Gone => {
                 Change::Phase
             }
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -97,7 +97,7 @@
     fn search(&mut self, flow: Flow, forward: Forward, from: SocketAddr) {
         let now = Instant::now();
         let Some(pool) = self.pool.clone() else { return };
-        let members = self.peers.incomplete(&pool, now);
+        let members = self.peers.incomplete(&pool, self.me, now);
         if members.is_empty() {
             return self.doubt(forward, from);
         }
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -62,10 +62,13 @@
     }
 
     /// Members whose upstreams may hold flows that they do not know.
-    pub(super) fn incomplete(&self, pool: &Pool, now: Instant) -> Vec<vm::Id> {
+    ///
+    /// `me` hears nothing from itself, and is never silent.
+    pub(super) fn incomplete(&self, pool: &Pool, me: vm::Id, now: Instant) -> Vec<vm::Id> {
         let is_complete = |vm| self.loads.get(&vm).is_some_and(|load| !load.incomplete);
         let known = pool.members.iter().chain(&pool.out).map(|member| member.vm);
-        known.filter(|vm| !is_complete(*vm) && !self.is_silent(*vm, now)).collect()
+        let is_heard = |vm| vm == me || !self.is_silent(vm, now);
+        known.filter(|vm| !is_complete(*vm) && is_heard(*vm)).collect()
     }
 
     /// Notes a member's load.
@@ -142,3 +145,7 @@
     }
     Duration::from_secs(1000) * (load.queue + 1) / load.weight
 }
+
+#[cfg(test)]
+#[path = "peers_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/hyssopdyked/src/agent/peers_tests.rs
@@ -0,0 +1,76 @@
+//! What an agent knows of the other members.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hyssopdyke::request::Candidate;
+use hyssopdyke::version::{Member, Pool};
+use hyssopdyke_wire::datagram::Load;
+
+use super::{Peers, expected_wait};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn member(vm: u64, service: &str) -> Member {
+    Member {
+        vm,
+        name: vm.to_string().into(),
+        service: service.into(),
+        domain: "d".into(),
+        address: ([10, 0, 0, vm as u8], 5556).into(),
+        boot: vm,
+        draining: false,
+    }
+}
+
+fn pool() -> Pool {
+    let members = vec![member(1, "a"), member(2, "a"), member(3, "b")];
+    Pool { epoch: 1, services: BTreeMap::new(), members, out: vec![member(4, "a")] }
+}
+
+fn ids(candidates: &[Candidate]) -> Vec<u64> {
+    candidates.iter().map(|candidate| candidate.vm).collect()
+}
+
+#[test]
+fn incomplete_meandsilent() {
+    let (start, pool) = (Instant::now(), pool());
+    let mut peers = Peers::default();
+    peers.follow(&pool, start);
+    for vm in [1, 2, 4] {
+        peers.note(vm, Load { incomplete: true, ..Load::default() });
+    }
+    peers.note(3, Load::default());
+    assert_eq!(peers.incomplete(&pool, 1, start), [1, 2, 4]);
+    // An agent does not hear itself; its own upstream is asked all the same.
+    let later = start + 3 * SECOND;
+    peers.heard(([10, 0, 0, 4], 5556).into(), later);
+    assert_eq!(peers.incomplete(&pool, 1, later), [1, 4]);
+}
+
+#[test]
+fn candidates_closedandsuspect() {
+    let (start, pool) = (Instant::now(), pool());
+    let mut peers = Peers::default();
+    peers.follow(&pool, start);
+    assert_eq!(ids(&peers.candidates(&pool, "a", &[])), [1, 2]);
+    peers.suspect(1);
+    assert_eq!(ids(&peers.candidates(&pool, "a", &[])), [2]);
+    assert_eq!(ids(&peers.candidates(&pool, "a", &[2])), [1], "better a suspect than nobody");
+    peers.heard(([10, 0, 0, 1], 5556).into(), start);
+    peers.note(2, Load { closed: true, ..Load::default() });
+    assert_eq!(ids(&peers.candidates(&pool, "a", &[])), [1]);
+}
+
+#[test]
+fn wait_bythroughput() {
+    // Two slots of 20 ms each are 100 requests a second: the third that waits does so for 30 ms.
+    let busy = Load { weight: 100_000, queue: 2, ..Load::default() };
+    assert_eq!(expected_wait(&busy), Duration::from_millis(30));
+    assert_eq!(expected_wait(&Load { room: 1, ..busy }), Duration::ZERO);
+    let mut peers = Peers::default();
+    peers.note(1, busy);
+    peers.note(2, Load { weight: 300_000, queue: 4, ..Load::default() });
+    let all = [Candidate { vm: 1, weight: 1 }, Candidate { vm: 2, weight: 1 }];
+    assert_eq!(peers.least_wait(&all), Some(2), "a longer queue of a faster upstream is shorter");
+}
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -542,9 +542,13 @@
         let change = self.upstream.report(report, now);
         match change {
             Change::None | Change::Same => {}
-            Change::Started => {
-                info!(self.events.logger(), "upstream started"; "phase" => ?phase);
-                self.lose_all();
+            Change::First | Change::Started => {
+                let name = self.upstream.last().map(|last| last.instance.clone());
+                info!(self.events.logger(), "upstream started"; "upstream" => ?name,
+                    "phase" => ?phase, "change" => ?change);
+                if change == Change::Started {
+                    self.lose_all();
+                }
                 self.declare_limit();
                 self.exchange_loads(now);
             }
