fix(node): leases go on while a VM is suspended; a late agent leaves its upstream alone

Whether an agent is late is now judged by its lease before the view changed (view_latebylease, without processes, fails before).

Also: leases, votes of confidence and quorums are measured by a clock that goes on while a VM is suspended; the agent's files are split by what they do.

--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -1,46 +1,15 @@
 //! The agent as the home of a share of its service's flows.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use hyssopdyke::connection::{self, Class, Flow, Protocol, Record, Round};
-use hyssopdyke::request::{Border, Candidate, Packet};
-use hyssopdyke::version::Route;
-use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{self, Declined, Forward, Owner, Reason, Unknown, datagram::Body};
-use slog::debug;
+use hyssopdyke::connection::{Flow, Record};
+use hyssopdyke::request::{Border, Packet};
+use hyssopdyke_wire::datagram::{Forward, Unknown, datagram::Body};
 
-use super::owner::Terms;
 use super::worker::Worker;
-use crate::node::{decode_address, encode_address};
-
-/// Members that are asked one after another before a flow waits for room.
-const TRIES: usize = 4;
-
-/// Members that are asked in each further round.
-const MORE_TRIES: usize = 2;
-
-/// Share of the time in which an answer is on time that a request may wait for a slot: the rest is
-/// for its work and for the ways. Whoever would wait longer is refused, and takes no time from
-/// those who are served on time.
-const PATIENCE_SHARE: f64 = 0.5;
-
-/// Time between two offers of the same flow.
-const OFFER_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Time for which a flow waits for room before it is refused.
-pub(super) const WAIT: Duration = Duration::from_millis(300);
-
-/// Time in which the report of a new flow has come: a tick, and a repetition if one is lost.
-const REPORTED: Duration = Duration::from_millis(150);
-
-/// Packets that may wait for the report of their flow.
-const DOUBTFUL_PACKETS: usize = 512;
-
-/// Flows that may wait for room at a time.
-const WAITING_FLOWS: usize = 256;
+use crate::clock;
+use crate::node::decode_address;
 
 /// Time for which the flows of a member that is gone are kept for its return.
 const ABSENCE: Duration = Duration::from_secs(30);
@@ -79,7 +48,7 @@
     fn unplaced(&mut self, flow: Flow, packet: &Packet, forward: Forward, from: SocketAddr) {
         let opens = packet.segment.is_none_or(|segment| segment.opens());
         let may_place = B::SETTLES_OPENING && opens;
-        if !may_place && !self.is_sure(Instant::now()) {
+        if !may_place && !self.is_sure(clock::now()) {
             return self.hold(forward, from);
         }
         if opens {
@@ -92,263 +61,6 @@
         }
     }
 
-    /// Looks for a flow that no agent knows at the upstreams that may hold it nevertheless; its
-    /// caller is reset where there is none.
-    fn search(&mut self, flow: Flow, forward: Forward, from: SocketAddr) {
-        let now = Instant::now();
-        let Some(pool) = self.pool.clone() else { return };
-        let members = self.peers.incomplete(&pool, self.me, now);
-        if members.is_empty() {
-            return self.doubt(forward, from);
-        }
-        if !self.searches.start(flow, &members, now) {
-            return self.metrics.count("dropped.searched");
-        }
-        self.metrics.count("searched");
-        for member in members {
-            if member == self.me {
-                self.ask_upstream(flow, &forward.packet, self.me);
-            } else {
-                let packet = forward.packet.clone();
-                let question = Forward { packet, search: true, ..Forward::default() };
-                self.send(member, Body::Forward(question));
-            }
-        }
-    }
-
-    /// Notes that a member does not hold a flow that is searched.
-    pub(super) fn missed(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes, from: SocketAddr) {
-        if self.searches.miss(flow, member, Instant::now()) {
-            let forward = Forward { packet: packet.clone(), ..Forward::default() };
-            self.doubt(forward, from);
-        }
-    }
-
-    /// Keeps a packet until the report of its flow, which may just have been opened, has come.
-    fn doubt(&mut self, forward: Forward, from: SocketAddr) {
-        if self.doubtful.len() < DOUBTFUL_PACKETS {
-            self.doubtful.push_back((Instant::now(), forward, from));
-        } else {
-            self.metrics.count("dropped.doubtful");
-        }
-    }
-
-    /// Resets the callers of flows that nobody has reported meanwhile.
-    pub(super) fn resolve_doubtful(&mut self, now: Instant) {
-        while let Some((since, forward, from)) = self.doubtful.pop_front() {
-            if now.duration_since(since) < REPORTED {
-                return self.doubtful.push_front((since, forward, from));
-            }
-            let Ok(packet) = self.border.parse(&forward.packet) else { continue };
-            let flow = packet.inbound();
-            if self.directory.get(&flow).is_some() || self.is_own(&flow, &packet) {
-                self.forwarded(forward, from);
-            } else {
-                self.reset_unknown(&flow, &packet);
-            }
-        }
-    }
-
-    fn reset_unknown(&mut self, flow: &Flow, packet: &Packet) {
-        debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
-        self.metrics.count("reset.unknown");
-        self.answer_by_reset(packet);
-    }
-
-    /// Starts to place a new flow.
-    fn place(&mut self, flow: Flow, packet: Bytes, entry: Option<SocketAddr>) {
-        let view = Arc::clone(self.membership.view());
-        let Some(route) = view.route(flow.service, flow.protocol) else { return };
-        let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
-        let offer = connection::Offer::new(packet, service, TRIES, Instant::now());
-        self.directory.offer(flow, connection::Offer { entry, ..offer });
-        self.metrics.count("placed");
-        self.ask_next(flow);
-    }
-
-    /// Places a flow that an upstream gave back at another one.
-    pub(super) fn place_again(&mut self, flow: Flow, former: vm::Id, packet: Bytes) {
-        self.directory.end(&flow, former, None);
-        if self.directory.get(&flow).is_none() {
-            self.place(flow, packet, None);
-        }
-        if let Some(offer) = self.directory.offer_mut(&flow)
-            && !offer.declined.contains(&former)
-        {
-            offer.declined.push(former);
-        }
-    }
-
-    /// Offers a new flow between the ends of a former one to the former owner first, which knows
-    /// whether the former one is over.
-    fn reoffer(&mut self, flow: Flow, owner: vm::Id, packet: Bytes, entry: Option<SocketAddr>) {
-        let view = Arc::clone(self.membership.view());
-        let Some(route) = view.route(flow.service, flow.protocol) else { return };
-        let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
-        let offer = connection::Offer::new(packet, service, TRIES, Instant::now());
-        self.directory.offer(flow, connection::Offer { asked: Some(owner), entry, ..offer });
-        self.offer_to_asked(flow, route);
-    }
-
-    /// Offers a flow to the next member, until one takes it or none is left.
-    fn ask_next(&mut self, flow: Flow) {
-        let view = Arc::clone(self.membership.view());
-        let Some(route) = view.route(flow.service, flow.protocol) else { return };
-        loop {
-            let Some(chosen) = self.next_member(flow, route) else {
-                return self.wait_or_refuse(flow, route.class);
-            };
-            let Some(offer) = self.directory.offer_mut(&flow) else { return };
-            offer.asked = Some(chosen);
-            offer.sent = Instant::now();
-            if chosen != self.me {
-                return self.offer_to_asked(flow, route);
-            }
-            if self.admit_own(flow) {
-                return;
-            }
-        }
-    }
-
-    /// The member that is asked next to take a flow.
-    fn next_member(&mut self, flow: Flow, route: &Route) -> Option<vm::Id> {
-        loop {
-            let pool = self.pool.clone()?;
-            let offer = self.directory.offer_mut(&flow)?;
-            offer.asked = None;
-            let services: Vec<&str> = match offer.round {
-                Round::Drawn => vec![&offer.service],
-                Round::Others => {
-                    let others = route.shares.iter().map(|share| &*share.service);
-                    others.filter(|service| **service != *offer.service).collect()
-                }
-                Round::Waiting => route.shares.iter().map(|share| &*share.service).collect(),
-            };
-            let candidates: Vec<Candidate> = services
-                .into_iter()
-                .flat_map(|service| self.peers.candidates(&pool, service, &offer.declined))
-                .collect();
-            let chosen = match offer.round {
-                Round::Waiting => self.peers.least_wait(&candidates),
-                Round::Drawn | Round::Others => self.draw.pick(&candidates),
-            };
-            if let Some(vm) = chosen.filter(|_| offer.tries > 0) {
-                offer.tries -= 1;
-                return Some(vm);
-            }
-            offer.round = match (route.class, offer.round) {
-                (Class::Exchange, Round::Drawn) => Round::Others,
-                (Class::Exchange, Round::Others) => {
-                    // Members without a free slot may have few who wait.
-                    offer.declined.clear();
-                    Round::Waiting
-                }
-                _ => return None,
-            };
-            offer.tries = MORE_TRIES;
-        }
-    }
-
-    /// Sends an offer to the member that is asked now.
-    fn offer_to_asked(&mut self, flow: Flow, route: &Route) {
-        let Some(offer) = self.directory.offer_mut(&flow) else { return };
-        let Some(to) = offer.asked else { return };
-        let (entry_address, entry_port) = offer.entry.map_or((0, 0), encode_address);
-        let patience_ms = patience(offer, route).as_millis() as u32;
-        let packet = offer.packet.clone();
-        self.send(
-            to,
-            Body::Offer(datagram::Offer { packet, entry_address, entry_port, patience_ms }),
-        );
-    }
-
-    /// Offers a flow to this agent's own upstream; true if it needs no other member.
-    fn admit_own(&mut self, flow: Flow) -> bool {
-        let Some(offer) = self.directory.offer_mut(&flow) else { return true };
-        let (bytes, entry) = (offer.packet.clone(), offer.entry);
-        let offer = offer.clone();
-        let Some((packet, route)) = self.checked(&bytes) else {
-            self.directory.remove(&flow);
-            return true;
-        };
-        let terms = Terms { home: self.me, patience: patience(&offer, &route) };
-        let is_admitted = self.admit(terms, flow, &packet, &route, &bytes).is_ok();
-        if is_admitted {
-            self.tell_entry(&flow, entry);
-            self.directory.remove(&flow);
-        } else if let Some(offer) = self.directory.offer_mut(&flow) {
-            offer.declined.push(self.me);
-        }
-        is_admitted
-    }
-
-    /// Lets a flow wait for room, or refuses it where that is of no use.
-    fn wait_or_refuse(&mut self, flow: Flow, class: Class) {
-        let now = Instant::now();
-        let Some(offer) = self.directory.offer_mut(&flow) else { return };
-        // Of an exchange it is known that every member has more waiting than it can serve in time.
-        let waits = class != Class::Exchange && now.duration_since(offer.since) < WAIT;
-        if waits && self.directory.offered().len() <= WAITING_FLOWS {
-            return;
-        }
-        self.refuse(flow);
-    }
-
-    /// Refuses a flow of which no packet was delivered.
-    fn refuse(&mut self, flow: Flow) {
-        let Some(Record::Offered(offer)) = self.directory.remove(&flow) else { return };
-        debug!(self.events.logger(), "flow refused"; "flow" => %flow);
-        self.metrics.count("refused");
-        if let Ok(packet) = self.border.parse(&offer.packet) {
-            self.answer_by_reset(&packet);
-        }
-    }
-
-    /// Notes that a member has taken a flow.
-    pub(super) fn accepted(&mut self, flow: Option<&datagram::Flow>, from: SocketAddr) {
-        let (Ok(flow), Some(owner)) = (Flow::try_from(flow), self.peers.id(from)) else {
-            return self.metrics.count("unexpected");
-        };
-        let isn = match self.directory.get(&flow) {
-            Some(Record::Offered(offer)) => self.first_sequence(&offer.packet),
-            Some(Record::Owned { isn, .. }) => *isn,
-            // The flow has ended, or this agent is no longer its home.
-            None => return,
-        };
-        self.owned(flow, owner, isn);
-    }
-
-    /// Records the owner of a flow, and tells a second owner to let it go.
-    pub(super) fn owned(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
-        if let Some(first) = self.directory.own(flow, owner, isn) {
-            self.send(owner, Body::Owner(Owner { flow: Some(flow.into()), vm: first }));
-        }
-    }
-
-    /// Offers a declined flow to the next member.
-    pub(super) fn declined(&mut self, declined: &Declined, from: SocketAddr) {
-        let (Ok(flow), Some(vm)) = (Flow::try_from(declined.flow.as_ref()), self.peers.id(from))
-        else {
-            return self.metrics.count("unexpected");
-        };
-        self.metrics.count("declined");
-        if let Some(load) = declined.load {
-            self.peers.note(vm, load);
-        }
-        if declined.reason() == Reason::Returned {
-            return self.place_again(flow, vm, declined.packet.clone());
-        }
-        let Some(offer) = self.directory.offer_mut(&flow).filter(|o| o.asked == Some(vm)) else {
-            return;
-        };
-        // One of the two views is old; the offer is repeated once they agree.
-        if declined.reason() == Reason::NotHome {
-            return;
-        }
-        offer.declined.push(vm);
-        self.ask_next(flow);
-    }
-
     /// Forgets the owner of a flow that says it does not own it.
     pub(super) fn disowned(&mut self, unknown: &Unknown, from: SocketAddr) {
         let (Ok(flow), Some(vm)) = (Flow::try_from(unknown.flow.as_ref()), self.peers.id(from))
@@ -361,130 +73,16 @@
         self.directory.end(&flow, vm, None);
     }
 
-    /// Repeats offers that were not answered, and offers again what waits for room.
-    pub(super) fn retry_offers(&mut self) {
-        let now = Instant::now();
-        for flow in self.directory.offered() {
-            let Some(offer) = self.directory.offer_mut(&flow) else { continue };
-            if now.duration_since(offer.sent) < OFFER_INTERVAL {
-                continue;
-            }
-            match offer.asked {
-                Some(vm) => self.repeat_offer(flow, vm),
-                None => self.offer_again(flow, now),
-            }
-        }
-    }
-
-    /// Sends an offer again to the member that has not answered it.
-    ///
-    /// A member that is gone may have delivered a datagram, which must not run twice: such a flow
-    /// stays with it. A TCP connection needs an answer that the member can no longer pass on, so
-    /// the flow goes to another member.
-    fn repeat_offer(&mut self, flow: Flow, vm: vm::Id) {
-        let is_present = self.pool.as_ref().is_some_and(|pool| pool.member(vm).is_some());
-        let Some(offer) = self.directory.offer_mut(&flow) else { return };
-        offer.sent = Instant::now();
-        if B::SETTLES_OPENING {
-            offer.declined.push(vm);
-            self.peers.suspect(vm);
-            self.ask_next(flow);
-        } else if is_present {
-            self.send_again(flow);
-        } else if flow.protocol == Protocol::Tcp {
-            offer.declined.push(vm);
-            self.ask_next(flow);
-        } else {
-            debug!(self.events.logger(), "datagram flow lost its upstream"; "flow" => %flow);
-            self.directory.remove(&flow);
-            self.directory.own(flow, vm, 0);
-            self.mark_absent();
-        }
-    }
-
-    /// Sends an offer to the member that is asked now, by the route that the flow has now.
-    fn send_again(&mut self, flow: Flow) {
-        let view = Arc::clone(self.membership.view());
-        if let Some(route) = view.route(flow.service, flow.protocol) {
-            self.offer_to_asked(flow, route);
-        }
-    }
-
-    /// Offers a waiting flow to a member that last reported room, or refuses it.
-    fn offer_again(&mut self, flow: Flow, now: Instant) {
-        let Some(pool) = self.pool.clone() else { return };
-        let Some(offer) = self.directory.offer_mut(&flow) else { return };
-        if now.duration_since(offer.since) >= WAIT {
-            return self.refuse(flow);
-        }
-        offer.sent = now;
-        let all = self.peers.candidates(&pool, &offer.service, &[]);
-        let with_room = self.peers.with_room(&all);
-        if let Some(vm) = self.draw.pick(if with_room.is_empty() { &all } else { &with_room }) {
-            self.offer_to(flow, vm);
-        }
-    }
-
-    /// Takes a member's message that it has room.
-    pub(super) fn room(&mut self, from: SocketAddr) {
-        match self.peers.id(from) {
-            Some(vm) => self.offer_waiting(vm),
-            None => self.metrics.count("dropped.no_peer"),
-        }
-    }
-
-    /// Offers the flow that has waited longest to a member that has room.
-    pub(super) fn offer_waiting(&mut self, vm: vm::Id) {
-        let waiting = self.directory.iter().filter_map(|(flow, record)| match record {
-            Record::Offered(offer) if offer.asked.is_none() => Some((offer.since, *flow)),
-            _ => None,
-        });
-        let oldest = waiting.min_by_key(|(since, _)| *since);
-        if let Some((_, flow)) = oldest {
-            self.offer_to(flow, vm);
-        }
-    }
-
-    /// Offers a waiting flow to one member only.
-    fn offer_to(&mut self, flow: Flow, vm: vm::Id) {
-        let Some(offer) = self.directory.offer_mut(&flow) else { return };
-        offer.declined.clear();
-        offer.tries = 1;
-        offer.sent = Instant::now();
-        offer.asked = Some(vm);
-        if vm != self.me {
-            self.send_again(flow);
-        } else if !self.admit_own(flow)
-            && let Some(offer) = self.directory.offer_mut(&flow)
-        {
-            offer.asked = None;
-        }
-    }
-
     /// Marks the owners that are not members as absent.
     pub(super) fn mark_absent(&mut self) {
         if let Some(pool) = self.pool.clone() {
             let is_present = |vm| pool.known(vm).is_some();
-            self.directory.mark_absent(Instant::now(), is_present);
+            self.directory.mark_absent(clock::now(), is_present);
         }
     }
 
-    /// Sequence number of a flow's first packet; 0 for a datagram.
-    fn first_sequence(&self, packet: &Bytes) -> u32 {
-        let packet = self.border.parse(packet).ok();
-        packet.and_then(|packet| packet.segment).map_or(0, |segment| segment.sequence)
-    }
-
     /// Gives up the flows of members that did not return.
     pub(super) fn sweep_records(&mut self, now: Instant) {
         self.directory.expire_absent(now, ABSENCE);
     }
 }
-
-/// Time that the first request of an offered flow may wait for a slot.
-fn patience(offer: &connection::Offer, route: &Route) -> Duration {
-    match offer.round {
-        Round::Drawn | Round::Others => Duration::ZERO,
-        Round::Waiting => route.objective.mul_f64(PATIENCE_SHARE),
-    }
-}
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -8,7 +8,10 @@
 mod home;
 mod owner;
 mod peers;
+mod placement;
 mod report;
+mod search;
+mod upstream;
 mod worker;
 
 use std::net::SocketAddr;
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -8,14 +8,13 @@
 use hyssopdyke::request::{Border, Packet, Reset};
 use hyssopdyke::version::{Bounds, Route};
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{
-    Accepted, Declined, Offer, Owner, Reason, Room, Unknown, datagram::Body,
-};
+use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Room, datagram::Body};
 use slog::{debug, info, warn};
 
-use super::home::WAIT;
 use super::peers::expected_wait;
+use super::placement::WAIT;
 use super::worker::Worker;
+use crate::clock;
 use crate::node::decode_address;
 
 /// Time for which a closed flow is remembered, so that its last packets find the upstream.
@@ -24,10 +23,6 @@
 /// Time in which an upstream must take a connection.
 const OPENING: Duration = Duration::from_secs(1);
 
-/// Time in which an upstream on the same VM must answer a first packet: less than callers wait
-/// before they repeat it, so that the copy goes elsewhere.
-const ANSWERING: Duration = Duration::from_millis(120);
-
 /// Seconds for which the rate of a cold upstream is declared.
 const PER_MILLE_SECONDS: f64 = 1000.0;
 
@@ -67,7 +62,7 @@
 
     /// Hands a caller's packet to the upstream.
     pub(super) fn deliver(&mut self, flow: &Flow, packet: &Packet, bytes: &Bytes) {
-        self.table.inbound(flow, packet.segment.as_ref(), Instant::now());
+        self.table.inbound(flow, packet.segment.as_ref(), clock::now());
         self.metrics.count("delivered");
         self.send_to_upstream(bytes);
     }
@@ -90,39 +85,13 @@
             }
             Err(reason) => {
                 let (flow, reason) = (Some(flow.into()), reason as i32);
-                let load = Some(self.load(Instant::now()));
+                let load = Some(self.load(clock::now()));
                 Body::Declined(Declined { flow, reason, packet: Bytes::new(), load })
             }
         };
         self.send_to(from, answer);
     }
 
-    /// Notes that the upstream has sent something.
-    pub(super) fn hear_upstream(&mut self, now: Instant) {
-        self.upstream_heard = Some(now);
-        if std::mem::take(&mut self.is_upstream_silent) {
-            info!(self.events.logger(), "upstream answers again");
-            self.exchange_loads(now);
-        }
-    }
-
-    /// Spares an upstream that has sent nothing since it was asked to take a flow.
-    pub(super) fn look_after_opening(&mut self, now: Instant) {
-        while let Some((since, flow)) = self.opening.front().copied() {
-            if now.duration_since(since) < ANSWERING {
-                return;
-            }
-            self.opening.pop_front();
-            let is_taken = self.table.get(&flow).is_none_or(connection::State::is_open);
-            let is_heard = self.upstream_heard.is_some_and(|heard| heard > since);
-            if !is_taken && !is_heard && !self.is_upstream_silent {
-                warn!(self.events.logger(), "upstream does not answer"; "flow" => %flow);
-                self.is_upstream_silent = true;
-                self.exchange_loads(now);
-            }
-        }
-    }
-
     /// Tells an entry that this agent owns a flow.
     pub(super) fn tell_entry(&mut self, flow: &Flow, entry: Option<SocketAddr>) {
         if let Some(entry) = entry {
@@ -142,7 +111,7 @@
         route: &Route,
         bytes: &Bytes,
     ) -> Result<(), Reason> {
-        let now = Instant::now();
+        let now = clock::now();
         // Until the flows of a former process are known, the upstream's load is not.
         let knows_load = !self.is_fresh || B::SETTLES_OPENING;
         if !self.may_act(now) || !knows_load {
@@ -171,7 +140,7 @@
     }
 
     fn check_room(&mut self, terms: Terms, flow: &Flow, route: &Route) -> Result<(), Reason> {
-        let now = Instant::now();
+        let now = clock::now();
         let home = terms.home;
         let hash = self.hash(flow);
         let pool = self.pool.as_ref().ok_or(Reason::Inactive)?;
@@ -237,7 +206,7 @@
 
     /// Passes an answer of the upstream on to the fabric.
     pub(super) fn answered(&mut self, bytes: &Bytes) {
-        let now = Instant::now();
+        let now = clock::now();
         if !self.may_serve_own(now) {
             return self.metrics.count("dropped.inactive");
         }
@@ -310,35 +279,6 @@
         }
     }
 
-    /// Asks the upstream whether it holds a flow that nobody knows, where it may.
-    pub(super) fn search_upstream(&mut self, flow: Flow, bytes: &Bytes, from: SocketAddr) {
-        match self.peers.id(from) {
-            Some(home) => self.ask_upstream(flow, bytes, home),
-            None => self.metrics.count("dropped.no_peer"),
-        }
-    }
-
-    /// Hands the upstream a packet that it gives back if it does not hold the flow.
-    pub(super) fn ask_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
-        let now = Instant::now();
-        if !self.is_incomplete(now) || !self.upstream.is_alive(now) {
-            return self.tell_missed(flow, home, bytes);
-        }
-        self.searched.retain(|_, (_, since)| now.duration_since(*since) < ANSWERING);
-        self.searched.insert(flow, (home, now));
-        self.send_to_upstream(bytes);
-    }
-
-    /// Tells the home of a searched flow that the upstream does not hold it.
-    fn tell_missed(&mut self, flow: Flow, home: vm::Id, bytes: &Bytes) {
-        if home == self.me {
-            let own = self.settings.answers;
-            return self.missed(&flow, self.me, bytes, own);
-        }
-        let (flow, packet) = (Some(flow.into()), bytes.clone());
-        self.send(home, Body::Unknown(Unknown { flow, searched: true, packet }));
-    }
-
     /// Gives a flow that the upstream has not taken back to its home.
     fn place_elsewhere(&mut self, flow: Flow, bytes: &Bytes) {
         let hash = self.hash(&flow);
@@ -363,20 +303,6 @@
         }
     }
 
-    fn upstream_failed(&mut self, flow: &Flow, now: Instant) {
-        let since = self.table.get(flow).map_or(now, |connection| connection.since);
-        let was_ejected = self.limit.is_ejected(now);
-        self.limit.failed(since, now);
-        self.metrics.count("failed");
-        debug!(self.events.logger(), "flow failed at the upstream"; "flow" => %flow,
-            "limit" => self.limit.current());
-        if !was_ejected && self.limit.is_ejected(now) {
-            warn!(self.events.logger(), "upstream ejected"; "limit" => self.limit.current());
-            // The other members must not wait for the next exchange to spare the upstream.
-            self.exchange_loads(now);
-        }
-    }
-
     /// Lets a flow go that another member owns.
     pub(super) fn let_go(&mut self, owner: &Owner) {
         let Ok(flow) = Flow::try_from(owner.flow.as_ref()) else {
@@ -399,7 +325,7 @@
         }
         // An agent that learns of it late, after its lease, leaves its upstream alone; callers
         // are outside the domain, and those that only listen learn of the end in no other way.
-        let may_send = self.membership.may_act(Instant::now());
+        let may_send = self.membership.was_active();
         for flow in flows {
             if may_send {
                 self.reset_upstream(&flow);
@@ -407,17 +333,7 @@
             self.reset_caller(&flow);
             self.table.remove(&flow);
         }
-        self.limit.cool(Instant::now());
-    }
-
-    /// Gives all flows up, as the upstream does not hold them any more.
-    pub(super) fn lose_all(&mut self) {
-        let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
-        for flow in flows {
-            self.reset_caller(&flow);
-            self.forget(&flow);
-        }
-        self.limit.cool(Instant::now());
+        self.limit.cool(clock::now());
     }
 
     /// Closes what is over, probes what is silent, and gives up what does not answer.
@@ -497,7 +413,7 @@
         self.forget(flow);
     }
 
-    fn reset_caller(&mut self, flow: &Flow) {
+    pub(super) fn reset_caller(&mut self, flow: &Flow) {
         if let Some(reset) = self.table.resets(flow).caller {
             let bytes = self.border.reset_caller(&reset);
             self.send_to_caller(&bytes, flow.caller);
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -12,6 +12,7 @@
 use slog::{debug, info};
 
 use super::worker::{Increment, Worker};
+use crate::clock;
 
 /// Records in one report, so that it fits a datagram.
 const RECORDS: usize = 24;
@@ -51,7 +52,7 @@
 
     /// Reports all flows anew, since homes have moved.
     pub(super) fn epoch_changed(&mut self, pool: &Pool) {
-        self.peers.follow(pool, Instant::now());
+        self.peers.follow(pool, clock::now());
         self.draw.retain(|vm| pool.member(vm).is_some());
         self.records_barrier.retain(|vm| pool.member(vm).is_some());
         self.own_barrier.retain(|vm| pool.known(vm).is_some());
@@ -226,7 +227,7 @@
         let Some(pool) = self.pool.clone().filter(|_| is_known) else {
             return;
         };
-        let now = Instant::now();
+        let now = clock::now();
         let (link, membership) = (&mut self.link, &self.membership);
         self.outbox.send_due(now, |to, report| {
             if let Some(member) = pool.member(to) {
@@ -292,7 +293,7 @@
         let Some(route) = view.route(flow.service, flow.protocol) else {
             return;
         };
-        let connection = connection::State::adopted(isn, Instant::now(), route.class);
+        let connection = connection::State::adopted(isn, clock::now(), route.class);
         debug!(self.events.logger(), "flow adopted"; "flow" => %flow);
         self.metrics.count("adopted");
         self.table.insert(flow, connection);
@@ -309,14 +310,14 @@
             if let Some(pool) = self.pool.clone() {
                 self.report_own(&pool);
             }
-            self.verify_adopted(Instant::now());
+            self.verify_adopted(clock::now());
         }
         self.take_held();
     }
 
     /// Takes the packets that waited, once all reports have come.
     pub(super) fn take_held(&mut self) {
-        if !self.held.is_empty() && self.is_sure(Instant::now()) {
+        if !self.held.is_empty() && self.is_sure(clock::now()) {
             for (forward, from) in std::mem::take(&mut self.held) {
                 self.forwarded(forward, from);
             }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Searches, Table};
-use hyssopdyke::process::{Barrier, Change, Cold, Limit, Outbox, Phase, Upstream};
+use hyssopdyke::process::{Barrier, Cold, Limit, Outbox, Upstream};
 use hyssopdyke::request::{Border, Draw, Packet};
-use hyssopdyke::version::{Bounds, Pool, Route};
+use hyssopdyke::version::{Pool, Route};
 use hyssopdyke::vm;
 use hyssopdyke_platform::reports::Delivery;
 use hyssopdyke_wire::datagram::{
@@ -24,6 +24,7 @@
 use tokio::time::{Interval, interval};
 
 use super::peers::Peers;
+use crate::clock;
 use crate::log::Events;
 use crate::metrics::Metrics;
 use crate::node::{Link, Membership, Session, Tunnel, decode_address};
@@ -41,12 +42,6 @@
 /// Time for the last reports before a graceful stop.
 const FAREWELL: Duration = Duration::from_secs(1);
 
-/// Heartbeats within which an upstream has reported to an agent that has just started.
-const FIRST_HEARTBEATS: u32 = 5;
-
-/// Age after which a flow is over, also where neither end has said so.
-const FLOW_AGE: Duration = Duration::from_mins(1);
-
 /// Packets that may wait for the reports of other members.
 const HELD_PACKETS: usize = 512;
 
@@ -80,7 +75,7 @@
     pub(super) me: vm::Id,
     pub(super) boot: u64,
     /// Start of the process, as an instant and in milliseconds of Unix time.
-    started: (Instant, u64),
+    pub(super) started: (Instant, u64),
     pub(super) domain: Box<str>,
     pub(super) settings: Agent,
     pub(super) link: Link,
@@ -156,7 +151,7 @@
             ready: watch::Sender::new(false),
             me: vm::id(&common.vm.name),
             boot,
-            started: (Instant::now(), unix_millis()),
+            started: (clock::now(), unix_millis()),
             domain: common.vm.domain.clone(),
             settings,
             keys: link.flow_keys(),
@@ -206,29 +201,6 @@
         }
     }
 
-    /// Leaves with the upstream, and comes back with it: an agent without one only makes others
-    /// wait for it.
-    async fn follow_upstream(&mut self, session: &mut Session) -> Result<()> {
-        let is_there = self.has_upstream(Instant::now());
-        if is_there && self.is_leaving {
-            info!(self.events.logger(), "agent joins with its upstream");
-            self.is_leaving = false;
-            session.rejoin();
-        } else if !is_there && !self.is_leaving {
-            info!(self.events.logger(), "agent leaves with its upstream");
-            self.finish(session).await?;
-            session.leave().await;
-        }
-        Ok(())
-    }
-
-    /// Whether there is an upstream, or may be one that has not reported yet.
-    fn has_upstream(&self, now: Instant) -> bool {
-        let is_new =
-            now.duration_since(self.started.0) < self.settings.heartbeat * FIRST_HEARTBEATS;
-        self.settings.reports.is_none() || self.upstream.is_present(now, is_new)
-    }
-
     /// Serves what comes next: messages, answers, an update of control, or what is due.
     async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
         tokio::select! {
@@ -330,7 +302,7 @@
                 break;
             };
             if from == self.settings.upstream {
-                self.hear_upstream(Instant::now());
+                self.hear_upstream(clock::now());
                 self.answered(&packet);
             } else {
                 self.metrics.count("rejected");
@@ -341,7 +313,7 @@
 
     fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let revision = datagram.revision;
-        self.peers.heard(from, Instant::now());
+        self.peers.heard(from, clock::now());
         self.membership.follow(&mut self.link, from, revision);
         match datagram.body {
             Some(Body::Forward(forward)) => self.forwarded(forward, from),
@@ -360,7 +332,7 @@
                 if let (Some(vm), Some(load)) = (self.peers.id(from), ping.load) {
                     self.peers.note(vm, load);
                 }
-                let answer = self.membership.pong(ping, Instant::now());
+                let answer = self.membership.pong(ping, clock::now());
                 self.send_to(from, Body::Pong(answer));
             }
             Some(Body::Pong(pong)) => self.membership.vouch(from, revision, pong),
@@ -377,7 +349,7 @@
 
     /// Takes a caller's packet, as the owner of its flow, as its home, or to pass it on.
     pub(super) fn forwarded(&mut self, forward: Forward, from: SocketAddr) {
-        let now = Instant::now();
+        let now = clock::now();
         if !self.may_serve_own(now) {
             return self.metrics.count("dropped.inactive");
         }
@@ -426,19 +398,6 @@
         route.map(|route| (packet, route.clone()))
     }
 
-    /// What the agent's upstream bears.
-    pub(super) fn bounds(&self) -> Bounds {
-        let pool = self.pool.as_ref();
-        let bounds = pool.and_then(|pool| pool.services.get(&self.settings.service));
-        bounds.copied().unwrap_or_default()
-    }
-
-    /// Whether new flows may go to the upstream.
-    pub(super) fn is_serving(&self, now: Instant) -> bool {
-        let is_reported = self.settings.reports.is_none() || self.upstream.is_serving(now);
-        is_reported && !self.is_upstream_silent
-    }
-
     /// Tells whether the agent can serve.
     pub(super) fn ready(&self) -> watch::Receiver<bool> {
         self.ready.subscribe()
@@ -451,16 +410,6 @@
         }
     }
 
-    /// Whether the upstream may hold flows that this process does not know: it has run before the
-    /// process has, and not all of its flows of that time are over.
-    pub(super) fn is_incomplete(&self, now: Instant) -> bool {
-        let is_older = match self.upstream.last() {
-            Some(report) => report.started < self.started.1,
-            None => true,
-        };
-        is_older && now.duration_since(self.started.0) < FLOW_AGE
-    }
-
     /// Notes a packet that waits for the reports of other members.
     pub(super) fn hold(&mut self, forward: Forward, from: SocketAddr) {
         if self.held.len() == HELD_PACKETS {
@@ -495,19 +444,19 @@
     }
 
     fn tick(&mut self) {
-        self.look_after_opening(Instant::now());
+        self.look_after_opening(clock::now());
         self.flush_increments();
         self.send_reports();
         self.prune();
-        if self.may_act(Instant::now()) {
+        if self.may_act(clock::now()) {
             self.take_held();
-            self.resolve_doubtful(Instant::now());
+            self.resolve_doubtful(clock::now());
             self.retry_offers();
         }
     }
 
     fn sweep(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         self.exchange_loads(now);
         if self.may_serve_own(now) {
             self.sweep_flows(now);
@@ -527,43 +476,6 @@
         }
     }
 
-    /// Holds the learned limit within what is declared.
-    fn declare_limit(&mut self) {
-        let bounds = self.bounds();
-        let told = self.upstream.last().map_or(u32::MAX, |report| report.slots.max(1));
-        self.limit.declare(bounds.cold_slots, bounds.slots.min(told));
-    }
-
-    /// Takes in a report of the upstream; it counts before it is acknowledged.
-    fn reported_by_upstream(&mut self, (report, acknowledge): Delivery) {
-        let now = Instant::now();
-        self.hear_upstream(now);
-        let phase = report.phase;
-        let change = self.upstream.report(report, now);
-        match change {
-            Change::None | Change::Same => {}
-            Change::First | Change::Started => {
-                let name = self.upstream.last().map(|last| last.instance.clone());
-                info!(self.events.logger(), "upstream started"; "upstream" => ?name,
-                    "phase" => ?phase, "change" => ?change);
-                if change == Change::Started {
-                    self.lose_all();
-                }
-                self.declare_limit();
-                self.exchange_loads(now);
-            }
-            Change::Phase => {
-                info!(self.events.logger(), "upstream changed"; "phase" => ?phase);
-                if phase == Phase::Gone {
-                    self.lose_all();
-                }
-                self.exchange_loads(now);
-            }
-        }
-        // An upstream that does not wait for the acknowledgement has made up its mind.
-        let _ = acknowledge.send(());
-    }
-
     pub(super) fn exchange_loads(&mut self, now: Instant) {
         let Some(pool) = self.pool.clone() else {
             return;
@@ -604,7 +516,7 @@
             connections: self.table.connections(),
             slots: self.table.slots(),
             limit: self.limit.current(),
-            ejected: self.limit.is_ejected(Instant::now()),
+            ejected: self.limit.is_ejected(clock::now()),
         }
     }
 }
--- a/crates/hyssopdyked/src/control/consensus/election.rs
+++ b/crates/hyssopdyked/src/control/consensus/election.rs
@@ -9,6 +9,7 @@
 use slog::{info, warn};
 
 use super::{Consensus, ELECTION, QUORUM, Role};
+use crate::clock;
 use crate::control::handle::{Error, Leadership};
 
 impl Consensus {
@@ -23,7 +24,7 @@
             return self.campaign(true, false);
         };
         let oldest = rounds.first_key_value().map(|(_, sent)| *sent);
-        if oldest.is_some_and(|sent| sent.elapsed() > QUORUM) {
+        if oldest.is_some_and(|sent| clock::now().duration_since(sent) > QUORUM) {
             warn!(self.events.logger(), "majority lost");
             self.step_down(None);
             return Ok(());
@@ -89,10 +90,10 @@
             rounds: BTreeMap::new(),
             round: 0,
             confirmed: 0,
-            since: Instant::now(),
+            since: clock::now(),
         };
         self.leader = Some(self.name.clone());
-        self.quorum.note(Instant::now());
+        self.quorum.note(clock::now());
         self.follow_configuration();
         self.append(Command { body: Some(command::Body::Barrier(true)) });
         self.publish();
--- a/crates/hyssopdyked/src/control/consensus/replicate.rs
+++ b/crates/hyssopdyked/src/control/consensus/replicate.rs
@@ -8,6 +8,7 @@
 use prost::Message as _;
 
 use super::{Consensus, Follower, HEARTBEAT, Reply, Role};
+use crate::clock;
 use crate::control::handle::Error;
 
 /// Entries in one message.
@@ -132,7 +133,7 @@
     pub(super) fn broadcast(&mut self) {
         let Role::Leader { followers, rounds, round, .. } = &mut self.role else { return };
         *round += 1;
-        rounds.insert(*round, Instant::now());
+        rounds.insert(*round, clock::now());
         let names: Vec<Box<str>> = followers.keys().cloned().collect();
         for name in names {
             self.send_entries(&name);
--- a/crates/hyssopdyked/src/control/handle.rs
+++ b/crates/hyssopdyked/src/control/handle.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::clock;
 use hyssopdyke::version::{Outcome, Registry};
 use hyssopdyke_wire::ledger::{Command, Message, Voter, command};
 use tokio::sync::{RwLock, RwLockReadGuard, mpsc, oneshot, watch};
@@ -69,7 +70,7 @@
 
 impl Quorum {
     pub(super) fn new() -> Self {
-        Self { start: Instant::now(), micros: AtomicU64::new(0) }
+        Self { start: clock::now(), micros: AtomicU64::new(0) }
     }
 
     /// Notes that a majority has answered a message that was sent at `sent`.
@@ -81,7 +82,7 @@
     /// Whether a majority has answered a message that was sent within `time`.
     pub(super) fn is_within(&self, time: Duration) -> bool {
         let last = self.start + Duration::from_micros(self.micros.load(Ordering::Acquire));
-        last.elapsed() < time
+        clock::now().saturating_duration_since(last) < time
     }
 }
 
--- a/crates/hyssopdyked/src/control/leases.rs
+++ b/crates/hyssopdyked/src/control/leases.rs
@@ -11,6 +11,7 @@
 use tokio::time::interval;
 
 use super::handle::Handle;
+use crate::clock;
 use crate::log::Events;
 
 /// Time between two looks at the leases.
@@ -59,7 +60,7 @@
 
     /// Notes a renewal.
     pub(super) fn renew(&self, key: Key, boot: u64, revision: u64, usage: Usage) {
-        let renewal = Renewal { boot, revision, usage, at: Instant::now() };
+        let renewal = Renewal { boot, revision, usage, at: clock::now() };
         self.lock().insert(key, renewal);
     }
 
@@ -134,11 +135,11 @@
 /// Takes daemons whose lease has ended off the record, for as long as this VM leads.
 pub(super) async fn expire(handle: Handle, leases: Arc<Leases>, events: Events) {
     let mut looks = interval(INTERVAL);
-    let mut last = Instant::now();
+    let mut last = clock::now();
     let mut thawed = last;
     loop {
         looks.tick().await;
-        let now = Instant::now();
+        let now = clock::now();
         // Renewals that waited while this process was frozen are still to be taken.
         if now.duration_since(last) > FREEZE {
             thawed = now;
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -15,8 +15,9 @@
 use hyssopdyke_wire::resource::Usage;
 use slog::{debug, warn};
 use tokio::sync::watch;
-use tokio::time::{Interval, interval, sleep_until};
+use tokio::time::{Interval, interval, sleep};
 
+use crate::clock;
 use crate::log::Events;
 use crate::metrics::Metrics;
 use crate::node::{Link, Membership, Session, Tunnel, encode_address};
@@ -92,7 +93,7 @@
 
     /// Sets whether the fabric shall send packets here.
     fn publish_ready(&self) {
-        let is_ready = !self.is_leaving && self.membership.may_act(Instant::now());
+        let is_ready = !self.is_leaving && self.membership.may_act(clock::now());
         self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
     }
 
@@ -122,14 +123,14 @@
     pub(super) async fn finish(&mut self, session: &mut Session) -> Result<()> {
         self.is_leaving = true;
         self.publish_ready();
-        let start = Instant::now();
+        let start = clock::now();
         let mut ticks = interval(TICK);
         loop {
             let quiet_since = self.forwarded.map_or(start, |last| last.max(start));
-            let quiet = tokio::time::Instant::from_std(quiet_since + QUIET);
+            let left = QUIET.saturating_sub(clock::now() - quiet_since);
             tokio::select! {
                 served = self.serve_next(session, &mut ticks) => served?,
-                () = sleep_until(quiet) => return Ok(()),
+                () = sleep(left) => return Ok(()),
             }
         }
     }
@@ -141,7 +142,7 @@
             };
             // The lease is looked at for each packet: the process may have been frozen between
             // two of them.
-            let now = Instant::now();
+            let now = clock::now();
             self.forwarded = Some(now);
             if self.membership.may_act(now) {
                 self.forward(packet);
@@ -205,7 +206,7 @@
     ///
     /// A copy of a flow's first packet shows that whoever got the one before has not answered.
     fn opener(&mut self, pool: &Pool, hash: u64, copies: u32) -> Option<vm::Id> {
-        let now = Instant::now();
+        let now = clock::now();
         if copies > 0
             && let Some(last) = pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
         {
@@ -238,7 +239,7 @@
                 self.membership.receive(&mut self.link, from, page);
             }
             Some(Body::Ping(ping)) => {
-                let answer = self.membership.pong(ping, Instant::now());
+                let answer = self.membership.pong(ping, clock::now());
                 let answer = self.membership.message(Body::Pong(answer));
                 self.link.send(&answer, from);
             }
@@ -260,7 +261,7 @@
 
     /// Asks members that are spared whether they answer again.
     fn ask_suspects(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         for vm in self.suspects.spared(now) {
             let Some(address) = self.membership.view().address(vm) else { continue };
             self.suspects.ask(vm, address);
@@ -272,7 +273,7 @@
     fn tick(&mut self) {
         self.publish_ready();
         self.ask_suspects();
-        self.membership.ask_peers(&mut self.link, Instant::now());
+        self.membership.ask_peers(&mut self.link, clock::now());
         self.metrics.gauge("cached_flows", self.cache.len() as u64);
         self.metrics.gauge("revision", self.membership.revision());
         let counts = self.metrics.flush();
--- a/crates/hyssopdyked/src/main.rs
+++ b/crates/hyssopdyked/src/main.rs
@@ -1,6 +1,7 @@
 //! The daemons of hyssopdyke: entry, agent and control.
 
 mod agent;
+mod clock;
 mod command;
 mod control;
 mod entry;
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -11,6 +11,7 @@
 use slog::{debug, info};
 
 use super::{Link, Session, Update};
+use crate::clock;
 use crate::log::Events;
 
 /// Length of a lease until control names another.
@@ -32,6 +33,8 @@
     replica: Replica,
     view: Arc<View>,
     lease: Lease,
+    /// The daemon might act until the current view was taken in.
+    was_active: bool,
     pulled: Option<Instant>,
     nonce: u64,
     events: Events,
@@ -46,6 +49,7 @@
             replica: Replica::new(),
             view: Arc::new(View::default()),
             lease: Lease::new(LEASE),
+            was_active: false,
             pulled: None,
             nonce: rand::random(),
             events,
@@ -67,6 +71,12 @@
         self.lease.is_valid(now) && self.view.is_registered(self.boot)
     }
 
+    /// Whether the daemon might act until it took in the current view: one that was frozen may
+    /// learn late of what had been in force everywhere else.
+    pub(crate) const fn was_active(&self) -> bool {
+        self.was_active
+    }
+
     /// Takes in an update of control and those that wait behind it; true if the view has changed.
     ///
     /// The view is made once for all of them, since many changes may come at a time.
@@ -91,7 +101,7 @@
 
     /// Pulls from a peer whose message shows a newer revision.
     pub(crate) fn follow(&mut self, link: &mut Link, from: SocketAddr, revision: u64) {
-        let now = Instant::now();
+        let now = clock::now();
         let is_due = self.pulled.is_none_or(|last| now.duration_since(last) >= PULL_INTERVAL);
         if revision <= self.replica.cursor() || !is_due {
             return;
@@ -175,9 +185,14 @@
     }
 
     fn renew_view(&mut self) {
+        self.was_active = self.may_act(clock::now());
         self.view = Arc::new(View::new(self.replica.store()));
         self.lease.catch_up(self.revision());
         self.events.set_revision(self.revision());
         info!(self.events.logger(), "revision in use");
     }
 }
+
+#[cfg(test)]
+#[path = "membership_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -0,0 +1,97 @@
+//! The right to act, across changes of the view.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+use hyssopdyke::version::Store;
+use hyssopdyke_wire::datagram::Pong;
+use hyssopdyke_wire::resource::{Domain, Entry, Resource, Upstream, resource::Body};
+
+use super::{LEASE, Membership};
+use crate::clock;
+use crate::log::Events;
+use crate::settings::{Cluster, Common, Form, Log, Vm};
+
+const BOOT: u64 = 7;
+
+fn membership() -> Membership {
+    let address = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let common = Common {
+        vm: Vm { name: "vm-1".into(), domain: "d".into(), address },
+        cluster: Cluster { passphrase: "for tests only, long".into(), control: Vec::new() },
+        log: Log { level: slog::Level::Critical, form: Form::Json, statsd: None },
+    };
+    Membership::new(BOOT, "d".into(), Events::open("agent", &common))
+}
+
+/// The agent of these tests, a peer in another domain, and the agent's own domain.
+fn store(out: bool) -> Store {
+    let mut store = Store::new();
+    let mut put = |name: &str, revision, body| {
+        store.put(Resource { name: name.into(), revision, generation: revision, body: Some(body) });
+    };
+    let upstream = Upstream {
+        domain: "d".into(),
+        service: "a".into(),
+        address: "10.0.0.1:5556".into(),
+        boot: BOOT,
+        ..Upstream::default()
+    };
+    put("vm-1", 1, Body::Upstream(upstream));
+    let entry = Entry { domain: "e".into(), address: "10.0.0.2:5556".into(), ..Entry::default() };
+    put("vm-2", 2, Body::Entry(entry));
+    put("d", 3, Body::Domain(Domain { out: false }));
+    if out {
+        put("d", 4, Body::Domain(Domain { out: true }));
+    }
+    store
+}
+
+fn follow(membership: &mut Membership, store: &Store) {
+    assert!(membership.take_in(store.since(membership.replica.cursor(), usize::MAX)));
+    membership.renew_view();
+}
+
+#[test]
+fn view_latebylease() {
+    // The daemon was frozen for longer than its lease while its domain was taken out. Its renewal
+    // makes it act by the new view, but what it does on the way there is late.
+    let mut membership = membership();
+    let now = clock::now();
+    let before = now.checked_sub(LEASE + Duration::from_secs(1)).unwrap();
+    follow(&mut membership, &store(false));
+    membership.lease.grant(before, LEASE, 3);
+    membership.lease.catch_up(3);
+    assert!(membership.may_act(before) && !membership.may_act(now));
+    membership.lease.grant(now, LEASE, 4);
+    assert!(!membership.may_act(now), "a renewal counts for the view of before");
+    follow(&mut membership, &store(true));
+    assert!(membership.may_act(clock::now()));
+    assert!(!membership.was_active());
+}
+
+#[test]
+fn view_intime() {
+    let mut membership = membership();
+    follow(&mut membership, &store(false));
+    membership.lease.grant(clock::now(), LEASE, 3);
+    membership.lease.catch_up(3);
+    follow(&mut membership, &store(true));
+    assert!(membership.was_active());
+}
+
+#[test]
+fn vouch_byactiveonly() {
+    // Two daemons that were frozen together must not bring each other back by an old view.
+    let mut membership = membership();
+    follow(&mut membership, &store(false));
+    let peer = ([10, 0, 0, 2], 5556).into();
+    let now = clock::now();
+    let ping = membership.ping(None, now);
+    membership.vouch(peer, 3, Pong { nonce: ping.nonce, active: false });
+    assert!(!membership.may_act(now));
+    assert!(!membership.pong(ping, now).active);
+    let ping = membership.ping(None, now);
+    membership.vouch(peer, 3, Pong { nonce: ping.nonce, active: true });
+    assert!(membership.may_act(now));
+}
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -12,9 +12,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{interval, sleep, sleep_until, timeout};
+use tokio::time::{interval, sleep, timeout};
 use tokio_util::codec::Framed;
 
+use crate::clock;
 use crate::log::Events;
 use crate::reload::Control;
 use crate::settings::Cluster;
@@ -267,14 +268,14 @@
                 () = unanswered(open.front()) => return Err(End::Silent),
                 _ = renewals.tick() => {
                     renewal += 1;
-                    open.push_back((renewal, Instant::now()));
+                    open.push_back((renewal, clock::now()));
                     let report = *reports.borrow_and_update();
                     renew(stream, renewal, report).await?;
                 }
                 changed = reports.changed() => {
                     changed.map_err(|_| End::Stopped)?;
                     renewal += 1;
-                    open.push_back((renewal, Instant::now()));
+                    open.push_back((renewal, clock::now()));
                     let report = *reports.borrow_and_update();
                     renew(stream, renewal, report).await?;
                 }
@@ -333,7 +334,7 @@
 /// Waits until the first open renewal has been unanswered for too long.
 async fn unanswered(first: Option<&(u64, Instant)>) {
     match first {
-        Some((_, sent)) => sleep_until((*sent + PATIENCE).into()).await,
+        Some((_, sent)) => sleep(PATIENCE.saturating_sub(clock::now() - *sent)).await,
         None => std::future::pending().await,
     }
 }
