--- a/crates/hyssopdyked/src/command.rs
+++ b/crates/hyssopdyked/src/command.rs
@@ -160,7 +160,8 @@
     settings: Settings<R>,
     run: impl AsyncFnOnce(Settings<R>, log::Events, reload::Control, Stop) -> eyre::Result<()>,
 ) -> eyre::Result<bool> {
-    let events = log::Events::open(R::SECTION, &settings.common);
+    // Dropped last, so that the last events are written.
+    let (events, _guard) = log::Events::open(R::SECTION, &settings.common);
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let graceful = runtime.block_on(async {
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -27,7 +27,7 @@
 use hyssopdyke_wire::{Key, Purpose};
 use slog::{info, warn};
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::log::Events;
 use crate::metrics::Metrics;
@@ -35,7 +35,7 @@
 use crate::settings::{self, Control, Settings, Vm};
 use crate::stop::Stop;
 use consensus::{Consensus, Local, Members};
-use handle::Handle;
+use handle::{Handle, Leadership};
 use identity::Identity;
 use leases::Leases;
 use operator::Orders;
@@ -43,6 +43,9 @@
 /// Time in which another VM must have taken over before this one stops.
 const HANDOVER: Duration = Duration::from_secs(1);
 
+/// Time between two looks for a VM that can take over.
+const HANDOVER_RETRY: Duration = Duration::from_millis(50);
+
 /// Runs a control VM until it is asked to stop.
 pub(crate) async fn run(
     settings: Settings<Control>,
@@ -113,11 +116,20 @@
 /// Lets another VM lead before this one stops, so that orders need not wait for an election.
 async fn hand_over(handle: &Handle) {
     let mut leadership = handle.leadership.clone();
-    if handle.hand_over().await.is_ok() {
-        let is_followed = leadership.wait_for(|now| now.since.is_none() && now.leader.is_some());
-        // Without a successor in time the others elect one by themselves.
-        let _ = timeout(HANDOVER, is_followed).await;
-    }
+    let followed = async {
+        loop {
+            match handle.hand_over().await {
+                Ok(()) => break,
+                // No other VM is ready yet.
+                Err(handle::Error::Busy) => sleep(HANDOVER_RETRY).await,
+                Err(_) => return,
+            }
+        }
+        let is_followed = |now: &Leadership| now.since.is_none() && now.leader.is_some();
+        let _ = leadership.wait_for(is_followed).await;
+    };
+    // Without a successor in time the others elect one by themselves.
+    let _ = timeout(HANDOVER, followed).await;
 }
 
 /// Opens the journal, which is formed anew in an empty folder.
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -7,6 +7,7 @@
 use std::time::{Instant, SystemTime};
 
 use slog::{Drain, FnValue, Level, Logger, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
 
 use crate::settings::{Common, Form};
 
@@ -23,11 +24,13 @@
 }
 
 impl Events {
-    /// Opens the log of a process on standard output.
-    pub(crate) fn open(role: &'static str, common: &Common) -> Self {
+    /// Opens the log of a process on standard output; what was written is out once the guard is
+    /// dropped.
+    pub(crate) fn open(role: &'static str, common: &Common) -> (Self, AsyncGuard) {
         let (level, form) = (common.log.level, common.log.form);
+        let (drain, guard) = drain(level, form);
         let root = Logger::root(
-            drain(level, form),
+            drain.fuse(),
             o!(
                 "process" => role,
                 "vm" => common.vm.name.to_string(),
@@ -36,7 +39,7 @@
             ),
         );
         let current = Arc::new(RwLock::new(root.new(o!("revision" => 0))));
-        Self { root, current }
+        (Self { root, current }, guard)
     }
 
     /// The logger, for slog's macros.
@@ -51,7 +54,7 @@
     }
 }
 
-fn drain(level: Level, form: Form) -> slog::Fuse<slog_async::Async> {
+fn drain(level: Level, form: Form) -> (Async, AsyncGuard) {
     match form {
         Form::Terminal => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
@@ -80,15 +83,14 @@
     since_epoch.map_or(0, |time| time.as_micros() as u64)
 }
 
-fn queue<D>(drain: D, level: Level) -> slog::Fuse<slog_async::Async>
+fn queue<D>(drain: D, level: Level) -> (Async, AsyncGuard)
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
     let filtered = drain.filter_level(level).fuse();
     // The writer reports how many events it had to drop.
-    slog_async::Async::new(filtered)
+    Async::new(filtered)
         .chan_size(QUEUE)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build()
-        .fuse()
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard()
 }
--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -21,7 +21,8 @@
         cluster: Cluster { passphrase: "for tests only, long".into(), control: Vec::new() },
         log: Log { level: slog::Level::Critical, form: Form::Json, statsd: None },
     };
-    Membership::new(BOOT, "d".into(), Events::open("agent", &common))
+    let (events, _guard) = Events::open("agent", &common);
+    Membership::new(BOOT, "d".into(), events)
 }
 
 /// The agent of these tests, a peer in another domain, and the agent's own domain.
