--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -79,7 +79,7 @@
         "answers" => %answers.local_addr()?, "peers" => %link.local_addr()?);
     let mut session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
-    let metrics = Metrics::open("agent", &common)?;
+    let metrics = Metrics::open("agent", &common, &events).await?;
     let (deliveries, received) = mpsc::channel(REPORTS);
     let _reports = match role.reports {
         Some(address) => {
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -226,9 +226,11 @@
             Some(Event::Answered(age)) => {
                 let since = now.checked_sub(age).unwrap_or(now);
                 self.limit.answered(since, now, busy);
+                self.metrics.time("answer", age);
             }
             Some(Event::Failed) => self.upstream_failed(&flow, now),
-            Some(Event::Opened(_)) | None => {}
+            Some(Event::Opened(time)) => self.metrics.time("opening", time),
+            None => {}
         }
         self.metrics.count("answered");
         self.send_to_caller(bytes, flow.caller);
--- a/crates/hyssopdyked/src/control/consensus/election.rs
+++ b/crates/hyssopdyked/src/control/consensus/election.rs
@@ -84,6 +84,7 @@
     }
 
     pub(super) fn lead(&mut self) {
+        self.metrics.count("elected");
         info!(self.events.logger(), "leading"; "term" => self.journal.vote().term);
         self.role = Role::Leader {
             followers: HashMap::new(),
@@ -105,6 +106,7 @@
         self.leader = leader;
         self.reset_deadline();
         if was_leader {
+            self.metrics.count("deposed");
             info!(self.events.logger(), "no longer leading");
             self.proposed.clear();
             for (_, reply) in std::mem::take(&mut self.replies) {
--- a/crates/hyssopdyked/src/control/consensus/follow.rs
+++ b/crates/hyssopdyked/src/control/consensus/follow.rs
@@ -34,7 +34,9 @@
         });
         if let Some(first) = entries.first() {
             let after = first.index - 1;
+            let start = Instant::now();
             tokio::task::block_in_place(|| self.journal.store_entries(after, entries))?;
+            self.metrics.time("sync", start.elapsed());
             self.find_configuration();
         }
         self.commit = self.commit.max(append.commit.min(sent_up_to));
--- a/crates/hyssopdyked/src/control/consensus/mod.rs
+++ b/crates/hyssopdyked/src/control/consensus/mod.rs
@@ -229,6 +229,7 @@
 
     fn disk_failed(&mut self, error: &JournalError) {
         if self.repair_at.is_none() {
+            self.metrics.count("disk_failed");
             warn!(self.events.logger(), "disk failed"; "reason" => %error);
         }
         self.repair_at = Some(Instant::now() + REPAIR_INTERVAL);
--- a/crates/hyssopdyked/src/control/consensus/replicate.rs
+++ b/crates/hyssopdyked/src/control/consensus/replicate.rs
@@ -124,7 +124,9 @@
         }
         let entries = std::mem::take(&mut self.proposed);
         let last = self.journal.last_index();
+        let start = Instant::now();
         tokio::task::block_in_place(|| self.journal.store_entries(last, entries))?;
+        self.metrics.time("sync", start.elapsed());
         self.broadcast();
         Ok(())
     }
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -76,7 +76,7 @@
         "sessions" => %sessions.local_addr()?, "api" => %api.local_addr()?,
         "entries" => journal.last_index());
 
-    let metrics = Metrics::open("control", &common)?;
+    let metrics = Metrics::open("control", &common, &events).await?;
     let address = replicas.local_addr()?;
     let local = Local { name: voter_name(&role, &common.vm), identity, address };
     let members = Members {
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -71,7 +71,7 @@
         "fabric" => %fabric.local_addr()?, "peers" => %link.local_addr()?);
     let session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
-    let metrics = Metrics::open("entry", &common)?;
+    let metrics = Metrics::open("entry", &common, &events).await?;
     let mut worker =
         Worker::new(border, fabric, link, membership, metrics, role.cached_flows, events.clone())?;
     let _readiness = match role.readiness {
--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -19,7 +19,7 @@
     let common = Common {
         vm: Vm { name: "vm-1".into(), domain: "d".into(), address },
         cluster: Cluster { passphrase: "for tests only, long".into(), control: Vec::new() },
-        log: Log { level: slog::Level::Critical, form: Form::Json, statsd: None },
+        log: Log { level: slog::Level::Critical, form: Form::Json, statsd: None, metrics: None },
     };
     let (events, _guard) = Events::open("agent", &common);
     Membership::new(BOOT, "d".into(), events)
--- a/crates/hyssopdyked/src/settings/log.rs
+++ b/crates/hyssopdyked/src/settings/log.rs
@@ -42,6 +42,8 @@
     pub(crate) level: slog::Level,
     pub(crate) form: Form,
     pub(crate) statsd: Option<SocketAddr>,
+    /// Serves the metrics as text, at `/metrics`.
+    pub(crate) metrics: Option<SocketAddr>,
 }
 
 impl Log {
@@ -55,7 +57,8 @@
             None => Some(Form::Terminal),
         };
         let statsd = section.list("statsd", "a socket address")?.pop();
-        Some(Self { level: level?, form: form?, statsd })
+        let metrics = section.optional("metrics", "a socket address");
+        Some(Self { level: level?, form: form?, statsd, metrics })
     }
 }
 
@@ -67,6 +70,9 @@
         if let Some(statsd) = self.statsd {
             writeln!(formatter, "statsd = {statsd}")?;
         }
+        if let Some(metrics) = self.metrics {
+            writeln!(formatter, "metrics = {metrics}")?;
+        }
         Ok(())
     }
 }
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -23,6 +23,9 @@
 /// Ports of each control VM for daemons, operators and other control VMs.
 const CONTROL_PORTS: (u16, u16, u16) = (5560, 5561, 5562);
 
+/// Port of each VM for its metrics.
+const METRICS_PORT: u16 = 9100;
+
 /// Hosts of the subnet from which each role's VMs are counted.
 const CONTROL_HOST: u8 = 1;
 const ENTRY_HOST: u8 = 21;
@@ -135,6 +138,7 @@
     role: &'static str,
     config: PathBuf,
     domain: Box<str>,
+    address: Ipv4Addr,
     process: Option<Process>,
 }
 
@@ -255,6 +259,16 @@
         PASSPHRASE
     }
 
+    /// Where the process on a VM serves its metrics.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] if there is none.
+    pub fn metrics_address(&self, name: &str) -> Result<SocketAddr, Error> {
+        let vm = self.vms.get(name).ok_or_else(|| Error::Unknown(name.into()))?;
+        Ok(SocketAddr::from((vm.address, METRICS_PORT)))
+    }
+
     /// Starts callers.
     ///
     /// # Errors
@@ -485,10 +499,11 @@
             text,
             "[vm]\nname = {name}\ndomain = {domain}\naddress = {}\n\n[cluster]\n\
              passphrase = {PASSPHRASE}\ncontrol = {}\n\n[log]\nlevel = {}\n\
-             form = json\n\n{section}",
+             form = json\nmetrics = {}\n\n{section}",
             self.subnet.vm(host),
             control.join(", "),
             self.layout.log_level,
+            SocketAddr::from((self.subnet.vm(host), METRICS_PORT)),
         );
         let config = self.folder.join(format!("{name}.ini"));
         std::fs::write(&config, text)?;
@@ -496,7 +511,8 @@
         let arguments = [role.as_ref(), "--config".as_ref(), config.as_os_str()];
         let arguments = arguments.into_iter().chain(more.iter().map(AsRef::as_ref));
         let process = Some(Process::spawn(&self.binary, arguments, log)?);
-        self.vms.insert(name.into(), Vm { role, config, domain, process });
+        let address = self.subnet.vm(host);
+        self.vms.insert(name.into(), Vm { role, config, domain, address, process });
         Ok(())
     }
 
