fix(agent): a refusal only where no upstream can have taken the flow

Cause (read in the code, no run has shown it): an offer that was not answered in 50 ms went to another member, though only the answer may have been lost. The second owner's word then replaced the first's at the entry and at the home, and packets of a flow that was open at the first were taken for those of an unknown one; and where the others declined, the caller was refused although its flow could be open.

Changes: an offer is repeated once before another member is asked; an owner that is told to let a flow go whose caller goes on with it says so, and is put on record (directory_confirmed); a flow that a member may have taken, or whose first packet is a copy, is dropped and not refused.

--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -47,6 +47,10 @@
     pub since: Instant,
     /// Last time that a member was asked.
     pub sent: Instant,
+    /// Repetitions to the member that is asked now.
+    pub repeats: u32,
+    /// A member has not answered: it may have delivered the packet.
+    pub may_be_open: bool,
 }
 
 impl Offer {
@@ -56,7 +60,19 @@
         let declined = Vec::new();
         let (asked, entry) = (None, None);
         let round = Round::Drawn;
-        Self { asked, entry, service, round, declined, tries, packet, since: now, sent: now }
+        Self {
+            asked,
+            entry,
+            service,
+            round,
+            declined,
+            tries,
+            packet,
+            since: now,
+            sent: now,
+            repeats: 0,
+            may_be_open: false,
+        }
     }
 }
 
@@ -122,6 +138,11 @@
         None
     }
 
+    /// Records that the caller of a flow goes on with `owner`, whoever is on record.
+    pub fn confirm(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
+        self.records.insert(flow, Record::Owned { owner, isn, absent: None });
+    }
+
     /// Removes the record of a flow if `owner` holds it.
     ///
     /// With an initial sequence number, only the flow that began with it: its ends may be in use
--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -111,13 +111,18 @@
     /// on with the one whose sequence number it acknowledges.
     #[must_use]
     pub fn accepts(&self, segment: &Segment) -> bool {
-        let is_confirmed = self.handshake == Handshake::Confirmed;
-        match (is_confirmed, self.upstream.next, segment.acknowledgement) {
+        match (self.is_confirmed(), self.upstream.next, segment.acknowledgement) {
             (false, Some(next), Some(number)) if !segment.syn => number == next,
             _ => true,
         }
     }
 
+    /// Whether the caller has acknowledged the upstream's first packet.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.handshake == Handshake::Confirmed
+    }
+
     /// Whether the upstream has answered.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -297,6 +297,17 @@
     assert!(accepts(&state, 480), "a late acknowledgement of an open flow was refused");
 }
 
+#[test]
+fn directory_confirmed() {
+    // Two members have taken a flow, and the first is on record; the caller goes on with the other.
+    let mut directory = Directory::new();
+    assert_eq!(directory.own(flow(1), 7, 100), None);
+    assert_eq!(directory.own(flow(1), 8, 100), Some(7));
+    directory.confirm(flow(1), 8, 100);
+    assert_eq!(directory.own(flow(1), 8, 100), None);
+    assert_eq!(directory.own(flow(1), 7, 100), Some(8));
+}
+
 #[test]
 fn searches_allmiss() {
     let start = Instant::now();
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -81,7 +81,7 @@
             Ok(()) => {
                 let entry = decode_address(offer.entry_address, offer.entry_port);
                 self.tell_entry(&flow, entry);
-                Body::Accepted(Accepted { flow: Some(flow.into()) })
+                Body::Accepted(Accepted { flow: Some(flow.into()), confirmed: false })
             }
             Err(reason) => {
                 let (flow, reason) = (Some(flow.into()), reason as i32);
@@ -305,12 +305,16 @@
         }
     }
 
-    /// Lets a flow go that another member owns.
-    pub(super) fn let_go(&mut self, owner: &Owner) {
+    /// Lets a flow go that another member owns, unless its caller goes on here.
+    pub(super) fn let_go(&mut self, owner: &Owner, from: SocketAddr) {
         let Ok(flow) = Flow::try_from(owner.flow.as_ref()) else {
             return self.metrics.count("unexpected");
         };
-        if owner.vm != self.me && self.table.get(&flow).is_some() {
+        let is_confirmed = self.table.get(&flow).is_some_and(connection::State::is_confirmed);
+        if B::SETTLES_OPENING && is_confirmed {
+            let flow = Some(flow.into());
+            self.send_to(from, Body::Accepted(Accepted { flow, confirmed: true }));
+        } else if owner.vm != self.me && self.table.get(&flow).is_some() {
             warn!(self.events.logger(), "flow has another owner"; "flow" => %flow);
             self.reset_upstream(&flow);
             self.table.remove(&flow);
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -9,7 +9,7 @@
 use hyssopdyke::request::{Border, Candidate};
 use hyssopdyke::version::Route;
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{self, Declined, Owner, Reason, datagram::Body};
+use hyssopdyke_wire::datagram::{self, Accepted, Declined, Owner, Reason, datagram::Body};
 use slog::debug;
 
 use super::owner::Terms;
@@ -28,6 +28,10 @@
 /// those who are served on time.
 const PATIENCE_SHARE: f64 = 0.5;
 
+/// Repetitions of an offer before another member is asked, where several may be: the answer may
+/// have been lost.
+const REPEATS: u32 = 1;
+
 /// Time between two offers of the same flow.
 const OFFER_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -89,6 +93,7 @@
             };
             let Some(offer) = self.directory.offer_mut(&flow) else { return };
             offer.asked = Some(chosen);
+            offer.repeats = 0;
             offer.sent = clock::now();
             if chosen != self.me {
                 return self.offer_to_asked(flow, route);
@@ -188,14 +193,18 @@
         let Some(Record::Offered(offer)) = self.directory.remove(&flow) else { return };
         debug!(self.events.logger(), "flow refused"; "flow" => %flow);
         self.metrics.count("refused");
-        if let Ok(packet) = self.border.parse(&offer.packet) {
-            self.answer_by_reset(&packet);
+        let Ok(packet) = self.border.parse(&offer.packet) else { return };
+        // The flow may be open at a member whose answer was lost, or that another home has asked.
+        if offer.may_be_open || packet.copies > 0 {
+            return self.metrics.count("refused.silent");
         }
+        self.answer_by_reset(&packet);
     }
 
     /// Notes that a member has taken a flow.
-    pub(super) fn accepted(&mut self, flow: Option<&datagram::Flow>, from: SocketAddr) {
-        let (Ok(flow), Some(owner)) = (Flow::try_from(flow), self.peers.id(from)) else {
+    pub(super) fn accepted(&mut self, accepted: &Accepted, from: SocketAddr) {
+        let flow = Flow::try_from(accepted.flow.as_ref());
+        let (Ok(flow), Some(owner)) = (flow, self.peers.id(from)) else {
             return self.metrics.count("unexpected");
         };
         let isn = match self.directory.get(&flow) {
@@ -204,6 +213,9 @@
             // The flow has ended, or this agent is no longer its home.
             None => return,
         };
+        if accepted.confirmed {
+            return self.directory.confirm(flow, owner, isn);
+        }
         self.owned(flow, owner, isn);
     }
 
@@ -262,7 +274,11 @@
         let is_present = self.pool.as_ref().is_some_and(|pool| pool.member(vm).is_some());
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         offer.sent = clock::now();
-        if B::SETTLES_OPENING {
+        if B::SETTLES_OPENING && offer.repeats < REPEATS {
+            offer.repeats += 1;
+            self.send_again(flow);
+        } else if B::SETTLES_OPENING {
+            offer.may_be_open = true;
             offer.declined.push(vm);
             self.peers.suspect(vm);
             self.ask_next(flow);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -318,10 +318,10 @@
         match datagram.body {
             Some(Body::Forward(forward)) => self.forwarded(forward, from),
             Some(Body::Offer(offer)) => self.offered(&offer, from),
-            Some(Body::Accepted(accepted)) => self.accepted(accepted.flow.as_ref(), from),
+            Some(Body::Accepted(accepted)) => self.accepted(&accepted, from),
             Some(Body::Declined(declined)) => self.declined(&declined, from),
             Some(Body::Unknown(unknown)) => self.disowned(&unknown, from),
-            Some(Body::Owner(owner)) => self.let_go(&owner),
+            Some(Body::Owner(owner)) => self.let_go(&owner, from),
             Some(Body::Report(report)) => self.reported(&report, from),
             Some(Body::Reported(reported)) => {
                 if let Some(vm) = self.peers.id(from) {
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -102,7 +102,7 @@
     let messages = [
         ("forward of a 60-byte packet", Message::Forward(forward)),
         ("offer of a 60-byte packet", Message::Offer(Offer { packet, ..Offer::default() })),
-        ("accepted", Message::Accepted(Accepted { flow: flow.clone() })),
+        ("accepted", Message::Accepted(Accepted { flow: flow.clone(), confirmed: false })),
         ("owner", Message::Owner(Owner { flow, vm: u64::MAX })),
         ("report of one flow", Message::Report(report)),
         ("reported", Message::Reported(Reported { sequence: 99_999 })),
