fix(agent): a flow of which nobody else knows is reported at once

When the lease had ended, the flow's new home did not know it and reset it. So it is where owner and home are the same agent: then no answer to an offer tells anybody else.

Cost: a report of its own for one flow in n.

--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -129,8 +129,9 @@
             "connections" => self.table.connections(), "slots" => self.table.slots());
         self.metrics.count("admitted");
         self.note_opened(&flow, terms.home, isn);
-        if B::SETTLES_OPENING && self.first(&flow) != Some(terms.home) {
-            // The home that other entries ask must not take the flow for an unknown one.
+        if self.holder(&flow).is_some_and(|holder| holder != terms.home) {
+            // Nobody else knows of the flow yet: this agent may be lost before its next tick, and
+            // the home must not take the flow for an unknown one.
             self.flush_increments();
             self.send_reports();
         }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -185,13 +185,8 @@
         }
     }
 
-    /// The home of a flow.
-    pub(super) fn first(&self, flow: &Flow) -> Option<vm::Id> {
-        self.pool.as_ref()?.top(self.hash(flow)).0
-    }
-
     /// The other member that keeps a record of a flow of this agent.
-    fn holder(&self, flow: &Flow) -> Option<vm::Id> {
+    pub(super) fn holder(&self, flow: &Flow) -> Option<vm::Id> {
         let (first, second) = self.pool.as_ref()?.top(self.hash(flow));
         if first == Some(self.me) { second } else { first }
     }
--- a/crates/hyssopdyked/tests/flows.rs
+++ b/crates/hyssopdyked/tests/flows.rs
@@ -275,3 +275,26 @@
     });
     assert_eq!(bench.callers.outcomes().len(), 0, "the live stream has ended");
 }
+
+#[test]
+fn flows_killedafteropening() {
+    // An owner that is its flows' home, too, is killed as soon as they are open: the member that
+    // keeps their record must know them by then.
+    let mut bench = Bench::single("flows_killedafteropening", 3);
+    let mut established = 0;
+    for round in 0..4 {
+        for name in ["dispatch-1", "dispatch-2", "dispatch-3"] {
+            bench.streams(10, 20 * SECOND);
+            established += 10;
+            bench.wait_established(established);
+            bench.cluster.process(name).unwrap().kill().unwrap();
+            bench.cluster.respawn(name).unwrap();
+            bench.cluster.wait_in_force(PATIENCE).unwrap();
+            let taken = || bench.events(name, "flows taken over") > round + 1;
+            wait("flows are taken over", taken);
+        }
+    }
+    let tally = bench.finish();
+    assert_eq!((tally.broken, tally.unanswered, tally.wrong), (0, 0, 0), "{tally:?}");
+    bench.assert_sound();
+}
