revert(entry): callers of lost failure domains are reset

Ruled out: agents of the domain that were gone (fifteen of them lived and renewed their leases). More questions before a domain counts as lost would cost as much time as the cut takes.

--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -7,7 +7,6 @@
 mod lease;
 mod limit;
 mod outbox;
-mod reach;
 mod suspects;
 mod upstream;
 
@@ -18,6 +17,5 @@
 pub use lease::Lease;
 pub use limit::Limit;
 pub use outbox::Outbox;
-pub use reach::Reach;
 pub use suspects::Suspects;
 pub use upstream::{Change, Phase, Upstream, UpstreamReport};
--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -77,9 +77,9 @@
     /// The highest-ranked member for a flow that `is_spared` does not name, or the home where it
     /// names all.
     #[must_use]
-    pub fn stand_in(&self, flow: u64, is_spared: impl Fn(&Member) -> bool) -> Option<vm::Id> {
-        let rest = self.members.iter().filter(|member| !is_spared(member));
-        let (stand_in, _) = Ranking::top(flow, rest.map(|member| member.vm));
+    pub fn stand_in(&self, flow: u64, is_spared: impl Fn(vm::Id) -> bool) -> Option<vm::Id> {
+        let all = || self.members.iter().map(|member| member.vm);
+        let (stand_in, _) = Ranking::top(flow, all().filter(|vm| !is_spared(*vm)));
         stand_in.or_else(|| self.top(flow).0)
     }
 
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -72,8 +72,6 @@
     /// Version of the declaration, and the silence after which it lets flows be forgotten.
     declared: Option<(u64, Option<Duration>)>,
     peers: HashMap<SocketAddr, Peer>,
-    /// Addresses of the agents of each failure domain.
-    agents: BTreeMap<Box<str>, Vec<SocketAddr>>,
     boots: HashSet<u64>,
     out: HashSet<Box<str>>,
 }
@@ -158,12 +156,6 @@
         peers.into_iter().map(|(_, address)| address).collect()
     }
 
-    /// Addresses of the agents of each failure domain.
-    #[must_use]
-    pub const fn agents(&self) -> &BTreeMap<Box<str>, Vec<SocketAddr>> {
-        &self.agents
-    }
-
     /// Address of an agent.
     #[must_use]
     pub fn address(&self, vm: vm::Id) -> Option<SocketAddr> {
@@ -193,7 +185,6 @@
             self.boots.insert(upstream.boot);
             let peer = Peer { domain: member.domain.clone(), is_agent: true };
             self.peers.insert(member.address, peer);
-            self.agents.entry(member.domain.clone()).or_default().push(member.address);
             let group = groups.of(&upstream.service);
             let Some(pool) = group.and_then(|group| pools.get_mut(group)) else {
                 continue;
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hyssopdyke::process::{
-    Barrier, Change, Cold, Lease, Limit, Outbox, Phase, Reach, Suspects, Upstream, UpstreamReport,
+    Barrier, Change, Cold, Lease, Limit, Outbox, Phase, Suspects, Upstream, UpstreamReport,
 };
 use hyssopdyke::request::{Candidate, Draw};
 use rand::SeedableRng;
@@ -328,35 +328,3 @@
     suspects.suspect(7, start);
     assert!(!suspects.is_spared(7, start + 5 * SECOND));
 }
-
-#[test]
-fn reach_wholedomain() {
-    let start = Instant::now();
-    let mut reach = Reach::new();
-    for question in 0..4 {
-        reach.ask("d", start + question * 300 * MILLI);
-        reach.ask("e", start + question * 300 * MILLI);
-    }
-    assert!(!reach.is_lost("d", start + 5 * SECOND), "four lost questions are no cut");
-    reach.ask("d", start + 1200 * MILLI);
-    reach.ask("e", start + 1200 * MILLI);
-    assert!(!reach.hear("e", start + 300 * MILLI));
-    let now = start + 1300 * MILLI;
-    assert!(reach.is_lost("d", now) && !reach.is_lost("e", now) && !reach.is_lost("f", now));
-    assert!(reach.hear("d", now), "the domain was lost until then");
-    assert!(!reach.is_lost("d", now + 5 * SECOND), "nobody was asked since");
-}
-
-#[test]
-fn reach_repeatedpacket() {
-    // A caller that goes on is answered by another way; one that repeats itself is not.
-    let start = Instant::now();
-    let mut reach = Reach::new();
-    assert!(!reach.is_repeated(1, 100));
-    assert!(!reach.is_repeated(1, 200));
-    assert!(!reach.is_repeated(2, 200));
-    assert!(reach.is_repeated(1, 200));
-    (0..5).for_each(|_| reach.ask("d", start));
-    assert!(reach.hear("d", start + SECOND));
-    assert!(!reach.is_repeated(2, 200), "a packet of before the domain was back counted");
-}
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -51,7 +51,7 @@
     control: Control,
     mut stop: Stop,
 ) -> Result<()> {
-    let Settings { common, role } = &settings;
+    let Settings { common, role } = settings;
     let key = Key::derive(&common.cluster.passphrase, Purpose::Datagram);
     let fabric =
         Tunnel::bind(role.fabric).wrap_err_with(|| format!("[entry] fabric: {}", role.fabric))?;
@@ -71,9 +71,9 @@
         "fabric" => %fabric.local_addr()?, "peers" => %link.local_addr()?);
     let session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
-    let metrics = Metrics::open("entry", common, &events).await?;
+    let metrics = Metrics::open("entry", &common, &events).await?;
     let mut worker =
-        Worker::new(border, fabric, link, membership, metrics, &settings, events.clone())?;
+        Worker::new(border, fabric, link, membership, metrics, role.cached_flows, events.clone())?;
     let _readiness = match role.readiness {
         Some(address) => {
             let router = readiness::router(worker.ready());
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -7,13 +7,13 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Cache, Flow};
-use hyssopdyke::process::{Reach, Suspects};
-use hyssopdyke::request::{Border, Packet, Reset};
+use hyssopdyke::process::Suspects;
+use hyssopdyke::request::Border;
 use hyssopdyke::version::{Member, Pool, Route};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Datagram, Forward, Owner, datagram::Body};
 use hyssopdyke_wire::resource::Usage;
-use slog::{debug, info, warn};
+use slog::{debug, warn};
 use tokio::sync::watch;
 use tokio::time::{Interval, interval, sleep};
 
@@ -21,7 +21,6 @@
 use crate::log::Events;
 use crate::metrics::Metrics;
 use crate::node::{Link, Membership, Session, Tunnel, encode_address};
-use crate::settings::{Entry, Settings};
 
 /// Forwards that may follow the entry's own: from the owner it remembered to the home, and on to
 /// the owner that the home knows.
@@ -30,32 +29,13 @@
 /// Datagrams that are taken from a socket before the other ones are looked at.
 const BATCH: usize = 64;
 
-/// Time between two flushes of the metrics.
+/// Time between two flushes of the metrics, and two questions to peers.
 const TICK: Duration = Duration::from_secs(1);
 
-/// Time between two questions to each failure domain: a third of the silence by which one counts
-/// as lost.
-const ASKING: Duration = Duration::from_millis(300);
-
-/// Agents of a failure domain that are asked at a time.
-const ASKED: usize = 2;
-
 /// Time without packets after which the fabric is taken to send no more: longer than callers'
 /// first repetitions, shorter than the grace time of a stop.
 const QUIET: Duration = Duration::from_secs(1);
 
-/// What is done again and again.
-struct Ticks {
-    publishing: Interval,
-    asking: Interval,
-}
-
-impl Ticks {
-    fn new() -> Self {
-        Self { publishing: interval(TICK), asking: interval(ASKING) }
-    }
-}
-
 /// The entry's sockets and what it remembers.
 pub(super) struct Worker<B> {
     border: B,
@@ -65,10 +45,6 @@
     metrics: Metrics,
     cache: Cache,
     suspects: Suspects,
-    reach: Reach,
-    /// Questions that were asked, to take turns among agents.
-    turn: usize,
-    domain: Box<str>,
     keys: (u64, u64),
     address: SocketAddr,
     events: Events,
@@ -87,11 +63,9 @@
         link: Link,
         membership: Membership,
         metrics: Metrics,
-        settings: &Settings<Entry>,
+        cached_flows: usize,
         events: Events,
     ) -> Result<Self> {
-        let cached_flows = settings.role.cached_flows;
-        let domain = settings.common.vm.domain.clone();
         let address = link.local_addr()?;
         let cache = Cache::new(cached_flows);
         let keys = link.flow_keys();
@@ -103,9 +77,6 @@
             metrics,
             cache,
             suspects: Suspects::new(),
-            reach: Reach::new(),
-            turn: 0,
-            domain,
             keys,
             address,
             events,
@@ -128,13 +99,13 @@
 
     /// Forwards packets until a socket fails.
     pub(super) async fn run(&mut self, session: &mut Session) -> Result<()> {
-        let mut ticks = Ticks::new();
+        let mut ticks = interval(TICK);
         loop {
             self.serve_next(session, &mut ticks).await?;
         }
     }
 
-    async fn serve_next(&mut self, session: &mut Session, ticks: &mut Ticks) -> Result<()> {
+    async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
         tokio::select! {
             ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
             ready = self.link.readable() => { ready?; self.receive_batch()?; }
@@ -142,8 +113,7 @@
                 self.membership.update(update, session);
                 self.publish_ready();
             }
-            _ = ticks.publishing.tick() => self.tick(),
-            _ = ticks.asking.tick() => self.ask_domains(),
+            _ = ticks.tick() => self.tick(),
         }
         session.report(self.membership.revision(), Usage::default());
         Ok(())
@@ -154,7 +124,7 @@
         self.is_leaving = true;
         self.publish_ready();
         let start = clock::now();
-        let mut ticks = Ticks::new();
+        let mut ticks = interval(TICK);
         loop {
             let quiet_since = self.forwarded.map_or(start, |last| last.max(start));
             let left = QUIET.saturating_sub(clock::now() - quiet_since);
@@ -196,9 +166,6 @@
         let Some((target, stand_in)) = self.target(route, &flow, opens, packet.copies) else {
             return self.metrics.count("dropped.no_member");
         };
-        if !opens && self.is_unreachable(&target.domain, &flow, &packet) {
-            return self.reset(&packet);
-        }
         let (entry_address, entry_port) = encode_address(self.address);
         let forward = Forward {
             packet: bytes,
@@ -215,56 +182,6 @@
         }
     }
 
-    /// Whether nobody can answer a packet: its owner's failure domain is lost, and its caller
-    /// repeats it.
-    fn is_unreachable(&mut self, domain: &str, flow: &Flow, packet: &Packet) -> bool {
-        let Some(segment) = packet.segment.filter(|segment| segment.length > 0) else {
-            return false;
-        };
-        self.reach.is_lost(domain, clock::now())
-            && self.reach.is_repeated(flow.hash(self.keys), segment.sequence)
-    }
-
-    /// Resets the caller of a flow that cannot be served, so that it opens another.
-    fn reset(&mut self, packet: &Packet) {
-        let flow = packet.inbound();
-        debug!(self.events.logger(), "unreachable flow reset"; "flow" => %flow);
-        self.metrics.count("reset.unreachable");
-        self.cache.remove(flow.hash(self.keys));
-        if let Some(reset) = Reset::answer(packet) {
-            let bytes = self.border.reset_caller(&reset);
-            if !self.fabric.send(&bytes, self.border.toward(packet.source)) {
-                self.metrics.count("dropped.send");
-            }
-        }
-    }
-
-    /// Asks some agents of each other failure domain, which also vouch for this entry.
-    fn ask_domains(&mut self) {
-        let now = clock::now();
-        let view = Arc::clone(self.membership.view());
-        self.turn = self.turn.wrapping_add(ASKED);
-        for (domain, agents) in view.agents().iter().filter(|(domain, _)| **domain != self.domain) {
-            for index in 0..ASKED.min(agents.len()) {
-                let address = agents[(self.turn + index) % agents.len()];
-                self.reach.ask(domain, now);
-                let ping = self.membership.ping(None, now);
-                self.link.send(&self.membership.message(Body::Ping(ping)), address);
-            }
-        }
-    }
-
-    /// Notes that a peer was heard.
-    fn hear(&mut self, from: SocketAddr) {
-        self.suspects.clear(from);
-        let view = Arc::clone(self.membership.view());
-        if let Some(domain) = view.domain_of(from)
-            && self.reach.hear(domain, clock::now())
-        {
-            info!(self.events.logger(), "failure domain is reached again"; "lost" => domain);
-        }
-    }
-
     /// The member that a packet goes to, and whether it is asked in place of the flow's home.
     fn target<'a>(
         &mut self,
@@ -291,15 +208,11 @@
     fn opener(&mut self, pool: &Pool, hash: u64, copies: u32) -> Option<vm::Id> {
         let now = clock::now();
         if copies > 0
-            && let Some(last) = pool.stand_in(hash, |member| self.is_spared(member, now))
+            && let Some(last) = pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
         {
             self.suspects.suspect(last, now);
         }
-        pool.stand_in(hash, |member| self.is_spared(member, now))
-    }
-
-    fn is_spared(&self, member: &Member, now: Instant) -> bool {
-        self.suspects.is_spared(member.vm, now) || self.reach.is_lost(&member.domain, now)
+        pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
     }
 
     fn receive_batch(&mut self) -> Result<()> {
@@ -317,7 +230,7 @@
 
     fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let revision = datagram.revision;
-        self.hear(from);
+        self.suspects.clear(from);
         self.membership.follow(&mut self.link, from, revision);
         match datagram.body {
             Some(Body::Owner(owner)) => self.learn(&owner),
@@ -360,6 +273,7 @@
     fn tick(&mut self) {
         self.publish_ready();
         self.ask_suspects();
+        self.membership.ask_peers(&mut self.link, clock::now());
         self.metrics.gauge("cached_flows", self.cache.len() as u64);
         self.metrics.gauge("revision", self.membership.revision());
         let counts = self.metrics.flush();
