fix(agent): callers are reset only once every member has said that it does not serve their flow

The home took the first answer for the owner and told the other member to let the flow go. That one forgot it, took it on again when its upstream answered late, handed the caller's next packet to the upstream, which gave it back, and reset the caller, who was served by the first. The agents were 100 to 170 ms behind with their work at the time.

- a flow that another upstream is taken to own stays, without a slot, until its caller shows with which upstream it goes on; the record follows the caller;
- a packet that an upstream gives back goes to the flow's home, not into a reset;
- an upstream's late answer to a first packet opens no unknown flow;
- a home asks all members it hears for a flow it does not know, in place of waiting 150 ms for a report, and resets only once all have answered, none at a newer revision;
- slots of flows with which no caller goes on are free after 0.3 s.

Ruled out: the length of the wait for reports (60 and 150 ms: broken with both).

worker_tests.rs drives one agent between stand-ins of its peers, its upstream and a caller; search_allmiss, search_found, contested_callergoeson, returned_middle and answered_lateopening fail on the code before.

--- a/crates/hyssopdyke/src/connection/search.rs
+++ b/crates/hyssopdyke/src/connection/search.rs
@@ -1,8 +1,8 @@
-//! Searches for flows that no agent knows.
+//! Searches for flows that their home does not know.
 //!
-//! An agent that was restarted may have lost flows that its upstream still holds. Where nobody
-//! knows a flow, each such agent hands the caller's packet to its upstream, which answers if it
-//! holds the flow and gives the packet back otherwise.
+//! All members are asked. An agent that was restarted may have lost flows that its upstream still
+//! holds: it hands the caller's packet to its upstream, which answers if it holds the flow and
+//! gives the packet back otherwise.
 
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -58,6 +58,11 @@
         is_last && now.duration_since(search.since) < PATIENCE
     }
 
+    /// Ends all searches, since other members must be asked.
+    pub fn clear(&mut self) {
+        self.searches.clear();
+    }
+
     /// Ends the search for a flow that was found.
     pub fn end(&mut self, flow: &Flow) {
         self.searches.remove(flow);
--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -57,6 +57,8 @@
     /// The upstream has not been heard since the flow was adopted.
     pub(super) unverified: bool,
     handshake: Handshake,
+    /// Another upstream was offered the flow, too, and is taken for its owner.
+    contested: bool,
     class: Class,
     pub(super) slot: bool,
     pub(super) closed: Option<Instant>,
@@ -78,6 +80,7 @@
             asked: None,
             unverified: false,
             handshake: Handshake::Asked,
+            contested: false,
             class,
             slot: class != Class::Stream,
             closed: None,
@@ -123,6 +126,13 @@
         self.handshake == Handshake::Confirmed
     }
 
+    /// Whether another upstream is taken for the owner, and the caller has not shown yet with
+    /// which it goes on.
+    #[must_use]
+    pub fn is_contested(&self) -> bool {
+        self.contested && !self.is_confirmed()
+    }
+
     /// Whether the upstream has answered.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -202,6 +212,15 @@
         }
     }
 
+    pub(super) fn contest(&mut self) {
+        self.contested = true;
+        self.release_unconfirmed();
+    }
+
+    pub(super) fn release_unconfirmed(&mut self) {
+        self.slot &= self.is_confirmed();
+    }
+
     fn release_slot(&mut self) -> bool {
         std::mem::replace(&mut self.slot, false)
     }
--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -77,6 +77,29 @@
         self.update(flow, |connection| connection.outbound(segment, now))
     }
 
+    /// Notes that another upstream is taken for the owner of a flow: it stays until its caller
+    /// shows with which it goes on, and takes no slot until then.
+    pub fn contest(&mut self, flow: &Flow) {
+        self.update(flow, State::contest);
+    }
+
+    /// Frees the slot of a flow whose caller has not gone on with it: it may have gone on with
+    /// another upstream that has answered its first packet, too.
+    pub fn release_unconfirmed(&mut self, flow: &Flow) {
+        self.update(flow, State::release_unconfirmed);
+    }
+
+    /// Flows that were opened `after` ago and whose callers have not gone on with them.
+    #[must_use]
+    pub fn unconfirmed(&self, now: Instant, after: Duration) -> Vec<Flow> {
+        let is_due =
+            |state: &State| !state.is_confirmed() && now.duration_since(state.since) >= after;
+        let due = self.flows.iter().filter(|(flow, state)| {
+            flow.protocol == Protocol::Tcp && state.is_open() && !state.is_closed() && is_due(state)
+        });
+        due.map(|(flow, _)| *flow).collect()
+    }
+
     /// Closes a flow that one end has lost.
     pub fn close(&mut self, flow: &Flow, now: Instant) {
         self.update(flow, |connection| connection.close(now));
--- a/crates/hyssopdyke/src/process/upstream.rs
+++ b/crates/hyssopdyke/src/process/upstream.rs
@@ -131,6 +131,12 @@
         is_heard && self.last.as_ref().is_some_and(|last| last.phase != Phase::Gone)
     }
 
+    /// Whether the upstream has said that it ended.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.last.as_ref().is_some_and(|last| last.phase == Phase::Gone)
+    }
+
     /// Whether the upstream may still be there: it has not said that it ended, and is silent only
     /// for so long that its reports may merely be late. One that was never heard is there if it is
     /// `new`.
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -332,3 +332,27 @@
     searches.end(&flow(1));
     assert!(!searches.miss(&flow(1), 2, start), "a flow that was found counts as missed");
 }
+
+#[test]
+fn table_unconfirmed() {
+    // A first packet has reached two upstreams and the caller goes on with the other: the slot that
+    // was taken for it here must not stay taken.
+    let start = Instant::now();
+    let mut table = Table::new();
+    for port in [1, 2] {
+        let state = connection::State::new(100, start, connection::Class::Exchange);
+        table.insert(flow(port), state);
+        table.inbound(&flow(port), Some(&segment(100, None, "S", 0)), start);
+        table.outbound(&flow(port), Some(&segment(500, Some(101), "S", 0)), start);
+    }
+    table.inbound(&flow(2), Some(&segment(101, Some(501), "", 10)), start);
+    assert_eq!(table.slots(), 2);
+    table.release_unconfirmed(&flow(1));
+    table.release_unconfirmed(&flow(2));
+    assert_eq!(table.slots(), 1);
+    assert_eq!(table.unconfirmed(start + SECOND, 2 * SECOND), []);
+    assert_eq!(table.unconfirmed(start + 2 * SECOND, 2 * SECOND), [flow(1)]);
+    // A caller that goes on late takes a slot again.
+    table.inbound(&flow(1), Some(&segment(101, Some(501), "", 10)), start + SECOND);
+    assert_eq!(table.slots(), 2);
+}
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -55,7 +55,7 @@
             let entry = decode_address(forward.entry_address, forward.entry_port);
             self.place(flow, forward.packet, entry);
         } else if !B::RESETS_OPEN {
-            self.search(flow, forward, from);
+            self.search(flow, &forward);
         } else {
             self.reset_unknown(&flow, packet);
         }
@@ -68,7 +68,7 @@
             return self.metrics.count("unexpected");
         };
         if unknown.searched {
-            return self.missed(&flow, vm, &unknown.packet, from);
+            return self.missed(&flow, vm, &unknown.packet);
         }
         self.directory.end(&flow, vm, None);
     }
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -8,7 +8,9 @@
 use hyssopdyke::request::{Border, Packet, Reset};
 use hyssopdyke::version::{Bounds, Route};
 use hyssopdyke::vm;
-use hyssopdyke_wire::datagram::{Accepted, Declined, Offer, Owner, Reason, Room, datagram::Body};
+use hyssopdyke_wire::datagram::{
+    Accepted, Declined, Forward, Offer, Owner, Reason, Room, Unknown, datagram::Body,
+};
 use slog::{debug, info, warn};
 
 use super::peers::expected_wait;
@@ -26,6 +28,10 @@
 /// Seconds for which the rate of a cold upstream is declared.
 const PER_MILLE_SECONDS: f64 = 1000.0;
 
+/// Time after which a caller that has not gone on with a flow has given it up: longer than callers
+/// repeat first packets.
+const UNCONFIRMED: Duration = Duration::from_secs(3);
+
 /// Declined flows that may wait for room at a time.
 const WAITERS: usize = 256;
 
@@ -62,9 +68,26 @@
 
     /// Hands a caller's packet to the upstream.
     pub(super) fn deliver(&mut self, flow: &Flow, packet: &Packet, bytes: &Bytes) {
+        let was_contested = self.is_contested(flow);
         self.table.inbound(flow, packet.segment.as_ref(), clock::now());
         self.metrics.count("delivered");
         self.send_to_upstream(bytes);
+        if was_contested && !self.is_contested(flow) {
+            self.insist(flow);
+        }
+    }
+
+    /// Whether another upstream is taken for the owner of a flow that may be this agent's.
+    fn is_contested(&self, flow: &Flow) -> bool {
+        self.table.get(flow).is_some_and(connection::State::is_contested)
+    }
+
+    /// Tells the member that keeps a flow's record that its caller goes on here.
+    fn insist(&mut self, flow: &Flow) {
+        if let Some(holder) = self.holder(flow) {
+            let flow = Some((*flow).into());
+            self.send(holder, Body::Accepted(Accepted { flow, confirmed: true }));
+        }
     }
 
     /// Answers a home that offers a flow.
@@ -250,6 +273,13 @@
                 }
                 false
             }
+            // The upstream opens a flow that was given to another one meanwhile.
+            Some(None) if packet.segment.is_some_and(|segment| segment.syn) => {
+                self.metrics.count("dropped.unknown_answer");
+                false
+            }
+            // An upstream that has said that it ended closes the last flows, which nobody keeps.
+            Some(None) if self.upstream.is_gone() => true,
             Some(None) => {
                 debug!(self.events.logger(), "flow taken on from its upstream"; "flow" => %flow);
                 self.metrics.count("claimed");
@@ -277,8 +307,26 @@
         }
         if self.table.remove(&flow).is_some() {
             debug!(self.events.logger(), "upstream does not hold the flow"; "flow" => %flow);
-            self.note_ended(&flow, 0);
-            self.answer_by_reset(packet);
+            self.give_back(flow, packet, self.border.restore(bytes));
+        }
+    }
+
+    /// Gives the packet of a flow that the upstream does not hold to the flow's home: its caller may
+    /// go on with another upstream.
+    fn give_back(&mut self, flow: Flow, packet: &Packet, bytes: Bytes) {
+        let forward = Forward { packet: bytes, ..Forward::default() };
+        let hash = self.hash(&flow);
+        match self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm) {
+            Some(home) if home != self.me => {
+                let unknown = Unknown { flow: Some(flow.into()), ..Unknown::default() };
+                self.send(home, Body::Unknown(unknown));
+                self.send(home, Body::Forward(forward));
+            }
+            Some(home) => {
+                self.directory.end(&flow, home, None);
+                self.home(flow, packet, forward, self.settings.answers);
+            }
+            None => {}
         }
     }
 
@@ -315,6 +363,9 @@
         if B::SETTLES_OPENING && is_confirmed {
             let flow = Some(flow.into());
             self.send_to(from, Body::Accepted(Accepted { flow, confirmed: true }));
+        } else if B::SETTLES_OPENING && owner.vm != self.me {
+            debug!(self.events.logger(), "flow has another owner"; "flow" => %flow);
+            self.table.contest(&flow);
         } else if owner.vm != self.me && self.table.get(&flow).is_some() {
             warn!(self.events.logger(), "flow has another owner"; "flow" => %flow);
             self.reset_upstream(&flow);
@@ -355,6 +406,9 @@
             self.forget(&flow);
         }
         if B::SETTLES_OPENING {
+            for flow in self.table.unconfirmed(now, UNCONFIRMED) {
+                self.forget(&flow);
+            }
             return self.sweep_idle(now);
         }
         for (flow, probes) in self.table.silent(now, self.settings.probe_after, PROBE_INTERVAL) {
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -61,14 +61,12 @@
         self.heard.get(&vm).is_some_and(|heard| now.duration_since(*heard) >= SILENCE)
     }
 
-    /// Members whose upstreams may hold flows that they do not know.
+    /// Members that can be asked for a flow, those in failure domains that are out among them.
     ///
     /// `me` hears nothing from itself, and is never silent.
-    pub(super) fn incomplete(&self, pool: &Pool, me: vm::Id, now: Instant) -> Vec<vm::Id> {
-        let is_complete = |vm| self.loads.get(&vm).is_some_and(|load| !load.incomplete);
+    pub(super) fn heard_members(&self, pool: &Pool, me: vm::Id, now: Instant) -> Vec<vm::Id> {
         let known = pool.members.iter().chain(&pool.out).map(|member| member.vm);
-        let is_heard = |vm| vm == me || !self.is_silent(vm, now);
-        known.filter(|vm| !is_complete(*vm) && is_heard(*vm)).collect()
+        known.filter(|vm| *vm == me || !self.is_silent(*vm, now)).collect()
     }
 
     /// Notes a member's load.
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -221,6 +221,7 @@
 
     /// Records the owner of a flow, and tells a second owner to let it go.
     pub(super) fn owned(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
+        self.searches.end(&flow);
         if let Some(first) = self.directory.own(flow, owner, isn) {
             self.send(owner, Body::Owner(Owner { flow: Some(flow.into()), vm: first }));
         }
@@ -232,7 +233,14 @@
         else {
             return self.metrics.count("unexpected");
         };
-        self.metrics.count("declined");
+        self.metrics.count(match declined.reason() {
+            Reason::Full => "declined.full",
+            Reason::Draining => "declined.draining",
+            Reason::NotHome => "declined.not_home",
+            Reason::Inactive => "declined.inactive",
+            Reason::Returned => "declined.returned",
+            Reason::Unspecified => "declined.unspecified",
+        });
         if let Some(load) = declined.load {
             self.peers.note(vm, load);
         }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -58,6 +58,7 @@
         self.own_barrier.retain(|vm| pool.known(vm).is_some());
         self.outbox.retain(|_, _| false);
         self.increments.clear();
+        self.searches.clear();
         self.mark_absent();
         if B::RESETS_OPEN {
             self.directory.retain(|_, record| !is_owned_by(record, &pool.out));
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -1,7 +1,10 @@
-//! Searches for flows that no agent knows.
+//! Searches for flows that their home does not know.
+//!
+//! The report of a new flow may still be on its way, and an agent that was restarted may have lost
+//! flows that its upstream holds. So all members are asked, and a caller is reset only once each of
+//! them has answered that it does not serve the flow.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyssopdyke::connection::Flow;
@@ -14,22 +17,12 @@
 use super::worker::Worker;
 use crate::clock;
 
-/// Time in which the report of a new flow has come: a tick, and a repetition if one is lost.
-const REPORTED: Duration = Duration::from_millis(150);
-
-/// Packets that may wait for the report of their flow.
-const DOUBTFUL_PACKETS: usize = 512;
-
 impl<B: Border> Worker<B> {
-    /// Looks for a flow that no agent knows at the upstreams that may hold it nevertheless; its
-    /// caller is reset where there is none.
-    pub(super) fn search(&mut self, flow: Flow, forward: Forward, from: SocketAddr) {
+    /// Asks all members for a flow that this home does not know.
+    pub(super) fn search(&mut self, flow: Flow, forward: &Forward) {
         let now = clock::now();
         let Some(pool) = self.pool.clone() else { return };
-        let members = self.peers.incomplete(&pool, self.me, now);
-        if members.is_empty() {
-            return self.doubt(forward, from);
-        }
+        let members = self.peers.heard_members(&pool, self.me, now);
         if !self.searches.start(flow, &members, now) {
             return self.metrics.count("dropped.searched");
         }
@@ -64,46 +57,35 @@
         self.send_to_upstream(bytes);
     }
 
+    /// Tells the home of a searched flow that this agent serves it.
+    pub(super) fn found(&mut self, flow: &Flow) {
+        let isn = self.table.get(flow).map_or(0, |state| state.isn);
+        self.note_opened(flow, 0, isn);
+        self.flush_increments();
+        self.send_reports();
+    }
+
     /// Tells the home of a searched flow that the upstream does not hold it.
     pub(super) fn tell_missed(&mut self, flow: Flow, home: vm::Id, bytes: &Bytes) {
         if home == self.me {
-            let own = self.settings.answers;
-            return self.missed(&flow, self.me, bytes, own);
+            return self.missed(&flow, self.me, bytes);
         }
         let (flow, packet) = (Some(flow.into()), bytes.clone());
         self.send(home, Body::Unknown(Unknown { flow, searched: true, packet }));
     }
 
-    /// Notes that a member does not hold a flow that is searched.
-    pub(super) fn missed(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes, from: SocketAddr) {
-        if self.searches.miss(flow, member, clock::now()) {
-            let forward = Forward { packet: packet.clone(), ..Forward::default() };
-            self.doubt(forward, from);
+    /// Notes that a member does not hold a flow that is searched; the caller is reset once none
+    /// does.
+    pub(super) fn missed(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes) {
+        // Whoever is ahead may know members that were not asked.
+        if !self.searches.miss(flow, member, clock::now()) || self.membership.is_behind() {
+            return;
         }
-    }
-
-    /// Keeps a packet until the report of its flow, which may just have been opened, has come.
-    pub(super) fn doubt(&mut self, forward: Forward, from: SocketAddr) {
-        if self.doubtful.len() < DOUBTFUL_PACKETS {
-            self.doubtful.push_back((clock::now(), forward, from));
-        } else {
-            self.metrics.count("dropped.doubtful");
-        }
-    }
-
-    /// Resets the callers of flows that nobody has reported meanwhile.
-    pub(super) fn resolve_doubtful(&mut self, now: Instant) {
-        while let Some((since, forward, from)) = self.doubtful.pop_front() {
-            if now.duration_since(since) < REPORTED {
-                return self.doubtful.push_front((since, forward, from));
-            }
-            let Ok(packet) = self.border.parse(&forward.packet) else { continue };
-            let flow = packet.inbound();
-            if self.directory.get(&flow).is_some() || self.is_own(&flow, &packet) {
-                self.forwarded(forward, from);
-            } else {
-                self.reset_unknown(&flow, &packet);
-            }
+        let Ok(packet) = self.border.parse(packet) else {
+            return self.metrics.count("dropped.malformed");
+        };
+        if self.directory.get(flow).is_none() && !self.is_own(flow, &packet) {
+            self.reset_unknown(flow, &packet);
         }
     }
 
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -24,6 +24,10 @@
 /// before they repeat it, so that the copy goes elsewhere.
 pub(super) const ANSWERING: Duration = Duration::from_millis(120);
 
+/// Time in which a caller goes on with a flow that was opened for it: the way there and back, and one
+/// repetition of a lost packet.
+const CONFIRMING: Duration = Duration::from_millis(300);
+
 impl<B: Border> Worker<B> {
     /// Takes in a report of the upstream; it counts before it is acknowledged.
     pub(super) fn reported_by_upstream(&mut self, (report, acknowledge): Delivery) {
@@ -124,6 +128,7 @@
                 return;
             }
             self.opening.pop_front();
+            self.confirming.push_back((since, flow));
             let is_taken = self.table.get(&flow).is_none_or(connection::State::is_open);
             let is_heard = self.upstream_heard.is_some_and(|heard| heard > since);
             if !is_taken && !is_heard && !self.is_upstream_silent {
@@ -134,6 +139,19 @@
         }
     }
 
+    /// Frees the slots of flows whose callers have not gone on with them.
+    pub(super) fn look_after_confirming(&mut self, now: Instant) {
+        while let Some((since, flow)) = self.confirming.front().copied() {
+            if now.duration_since(since) < CONFIRMING {
+                return;
+            }
+            self.confirming.pop_front();
+            if B::SETTLES_OPENING {
+                self.table.release_unconfirmed(&flow);
+            }
+        }
+    }
+
     pub(super) fn upstream_failed(&mut self, flow: &Flow, now: Instant) {
         let since = self.table.get(flow).map_or(now, |connection| connection.since);
         let was_ejected = self.limit.is_ejected(now);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -46,7 +46,7 @@
 const HELD_PACKETS: usize = 512;
 
 /// Time between two sendings of an unacknowledged report.
-const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+const REPORT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Reports that may be unacknowledged at a time.
 const REPORT_WINDOW: usize = 256;
@@ -105,6 +105,8 @@
     pub(super) table: Table,
     /// Flows that the upstream was asked to take, oldest first.
     pub(super) opening: VecDeque<(Instant, Flow)>,
+    /// Flows whose callers have yet to go on with them, oldest first.
+    pub(super) confirming: VecDeque<(Instant, Flow)>,
     /// When the upstream last sent anything.
     pub(super) upstream_heard: Option<Instant>,
     /// The upstream does not answer.
@@ -121,8 +123,6 @@
     pub(super) outbox: Outbox<Report>,
     pub(super) increments: HashMap<vm::Id, Increment>,
     pub(super) held: VecDeque<(Forward, SocketAddr)>,
-    /// Packets of flows that may be about to be reported, oldest first.
-    pub(super) doubtful: VecDeque<(Instant, Forward, SocketAddr)>,
     /// Homes whose flows were declined as the upstream was full, and when.
     pub(super) waiters: VecDeque<(vm::Id, Instant)>,
     pub(super) limit: Limit,
@@ -169,6 +169,7 @@
             peers: Peers::default(),
             table: Table::new(),
             opening: VecDeque::new(),
+            confirming: VecDeque::new(),
             upstream_heard: None,
             is_upstream_silent: false,
             directory: Directory::new(),
@@ -179,7 +180,6 @@
             outbox: Outbox::new(REPORT_INTERVAL, REPORT_WINDOW),
             increments: HashMap::new(),
             held: VecDeque::new(),
-            doubtful: VecDeque::new(),
             waiters: VecDeque::new(),
             limit: Limit::new(1, 1),
             cold: Cold::new(),
@@ -358,7 +358,11 @@
         };
         let flow = packet.inbound();
         if self.is_own(&flow, &packet) {
-            return self.deliver(&flow, &packet, &forward.packet);
+            self.deliver(&flow, &packet, &forward.packet);
+            if forward.search {
+                self.found(&flow);
+            }
+            return;
         }
         if forward.search {
             return self.search_upstream(flow, &forward.packet, from);
@@ -445,12 +449,12 @@
 
     fn tick(&mut self) {
         self.look_after_opening(clock::now());
+        self.look_after_confirming(clock::now());
         self.flush_increments();
         self.send_reports();
         self.prune();
         if self.may_act(clock::now()) {
             self.take_held();
-            self.resolve_doubtful(clock::now());
             self.retry_offers();
         }
     }
@@ -507,7 +511,6 @@
             room,
             ejected: self.limit.is_ejected(now),
             closed: self.is_leaving || !self.is_serving(now),
-            incomplete: self.is_incomplete(now),
         }
     }
 
@@ -526,3 +529,7 @@
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since_epoch.map_or(0, |time| time.as_millis() as u64)
 }
+
+#[cfg(test)]
+#[path = "worker_tests.rs"]
+mod tests;
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -36,6 +36,8 @@
     /// The daemon might act until the current view was taken in.
     was_active: bool,
     pulled: Option<Instant>,
+    /// Highest revision that a peer has shown.
+    newest: u64,
     nonce: u64,
     events: Events,
 }
@@ -51,6 +53,7 @@
             lease: Lease::new(LEASE),
             was_active: false,
             pulled: None,
+            newest: 0,
             nonce: rand::random(),
             events,
         }
@@ -99,8 +102,14 @@
         is_newer
     }
 
+    /// Whether a peer has shown a revision that is not in use here yet.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.newest > self.revision()
+    }
+
     /// Pulls from a peer whose message shows a newer revision.
     pub(crate) fn follow(&mut self, link: &mut Link, from: SocketAddr, revision: u64) {
+        self.newest = self.newest.max(revision);
         let now = clock::now();
         let is_due = self.pulled.is_none_or(|last| now.duration_since(last) >= PULL_INTERVAL);
         if revision <= self.replica.cursor() || !is_due {
--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -96,3 +96,14 @@
     membership.vouch(peer, 3, Pong { nonce: ping.nonce, active: true });
     assert!(membership.may_act(now));
 }
+
+impl Membership {
+    /// A daemon that holds a lease and acts by a store.
+    pub(crate) fn seated(boot: u64, domain: &str, store: &Store, events: Events) -> Self {
+        let mut membership = Self::new(boot, domain.into(), events);
+        follow(&mut membership, store);
+        membership.lease.grant(clock::now(), LEASE, store.revision());
+        membership.lease.catch_up(store.revision());
+        membership
+    }
+}
