feat(entry,log): links are paced; decisions are written within budgets

Tests: shaper_uploadwindows, shaper_shortbesidelong, shaper_repetition.

Each decision that touches a flow is one event with the flow's name, what decided it and the outcome, at level info; a budget for each kind and second, the rest counted. Orders and unreadable reports are written too.

--- a/crates/hyssopctl/src/timeline/event.rs
+++ b/crates/hyssopctl/src/timeline/event.rs
@@ -25,6 +25,13 @@
 }
 
 impl Event {
+    /// Reads a line; what stands before the event, such as a collector's time and source, is
+    /// passed over.
+    pub(crate) fn parse(line: &str) -> Option<Self> {
+        let start = line.find('{')?;
+        serde_json::from_str(&line[start..]).ok()
+    }
+
     /// What the event says besides its name.
     pub(crate) fn details(&self) -> String {
         let details = self.rest.iter().map(|(key, value)| match value {
--- a/crates/hyssopctl/src/timeline/mod.rs
+++ b/crates/hyssopctl/src/timeline/mod.rs
@@ -3,6 +3,7 @@
 mod event;
 mod order;
 mod page;
+mod why;
 
 use std::io::Write;
 use std::path::PathBuf;
@@ -11,6 +12,7 @@
 use eyre::{Result, WrapErr};
 
 use event::{Event, Filter};
+use why::Chain;
 
 pub(crate) fn command() -> Command {
     let text = |name: &'static str, help: &'static str| Arg::new(name).long(name).help(help);
@@ -24,6 +26,11 @@
                 .help("Logs with [log] form = json"),
         )
         .arg(text("flow", "Only events of a flow, or of all whose name contains this"))
+        .arg(
+            text("why", "Why a flow failed: its chain of decisions, and what its VMs believed")
+                .value_name("FLOW")
+                .conflicts_with_all(["flow", "service", "vm", "event", "html"]),
+        )
         .arg(text("service", "Only events of flows of a service's address, or that name it"))
         .arg(text("vm", "Only events of this VM"))
         .arg(text("event", "Only events whose name contains this"))
@@ -50,19 +57,22 @@
     for path in matches.get_many::<PathBuf>("log").unwrap_or_default() {
         let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
         for line in text.lines() {
-            match serde_json::from_str::<Event>(line) {
-                Ok(event) => events.push(event),
-                Err(_) => skipped += 1,
+            match Event::parse(line) {
+                Some(event) => events.push(event),
+                None => skipped += 1,
             }
         }
     }
     order::arrange(&mut events);
     let start = events.first().map_or(0, |event| event.wall_us);
-    let filter = Filter::new(matches);
-    events.retain(|event| filter.admits(event, start));
     if skipped > 0 {
         eprintln!("{skipped} lines are no events and were left out");
     }
+    if let Some(flow) = matches.get_one::<String>("why") {
+        return explain(&Chain::find(&events, flow), start);
+    }
+    let filter = Filter::new(matches);
+    events.retain(|event| filter.admits(event, start));
     match matches.get_one::<PathBuf>("html") {
         Some(path) => {
             let page = page::render(&events, start);
@@ -72,6 +82,23 @@
     }
 }
 
+fn explain(chain: &Chain, start: u64) -> Result<()> {
+    print(&chain.events, start)?;
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "\n{}", chain.cause)?;
+    if let Some(event) = &chain.decided {
+        writeln!(out, "decided at {} by: {} {}", event.vm, event.event, event.details())?;
+    }
+    if chain.left_out > 0 {
+        writeln!(
+            out,
+            "{} events were left out meanwhile: the chain may have gaps",
+            chain.left_out
+        )?;
+    }
+    Ok(())
+}
+
 fn print(events: &[Event], start: u64) -> Result<()> {
     let mut out = std::io::stdout().lock();
     for event in events {
--- a/crates/hyssopctl/src/timeline/tests.rs
+++ b/crates/hyssopctl/src/timeline/tests.rs
@@ -1,4 +1,5 @@
 use super::event::{Event, Filter};
+use super::why::{Cause, Chain};
 use super::{order, page};
 
 fn event(process: &str, vm: &str, wall_us: u64, revision: u64, name: &str) -> Event {
@@ -50,3 +51,58 @@
     assert!(!page.contains("x<y"));
     assert!(!page.contains("http"), "the page must need no network");
 }
+
+/// An event of a flow, or of none, with further fields as JSON.
+fn told(vm: &str, wall_us: u64, name: &str, fields: &str) -> Event {
+    let line = format!(
+        "  12.5 {vm} {{\"process\":\"agent\",\"vm\":\"{vm}\",\"domain\":\"d\",\"pid\":1,\
+         \"revision\":1,\"wall_us\":{wall_us},\"mono_us\":{wall_us},\"level\":\"INFO\",\
+         \"event\":\"{name}\"{fields}}}"
+    );
+    Event::parse(&line).unwrap()
+}
+
+#[test]
+fn parse_noevent() {
+    for line in ["", "day  own/srv  score", "{}", "12.5 edge-1 {\"event\":"] {
+        assert!(Event::parse(line).is_none(), "{line}");
+    }
+}
+
+#[test]
+fn chain_refused() {
+    let flow = ",\"flow\":\"tcp:10.0.0.1:5>10.1.0.1:80\"";
+    let events = [
+        told("e", 1_000_000, "first packet goes to its home", &format!("{flow},\"to\":\"h\"")),
+        told("h", 1_001_000, "flow declined", &format!("{flow},\"by\":\"a\"")),
+        told("a", 1_100_000, "upstream ejected", ""),
+        told("b", 1_100_000, "upstream ejected", ""),
+        told("h", 1_200_000, "flow refused", &format!("{flow},\"declined\":4")),
+        told("h", 2_000_000, "events left out", ",\"kind\":\"flow declined\",\"count\":7"),
+        told("a", 9_000_000, "upstream answers again", ""),
+    ];
+    let chain = Chain::find(&events, "10.0.0.1:5>");
+    assert_eq!(chain.cause, Cause::NoRoom);
+    assert_eq!(&*chain.decided.unwrap().vm, "h");
+    assert_eq!(chain.left_out, 7);
+    let names: Vec<_> = chain.events.iter().map(|event| (&*event.vm, &*event.event)).collect();
+    assert!(names.contains(&("a", "upstream ejected")), "{names:?}");
+    assert!(!names.contains(&("b", "upstream ejected")), "a VM that has no part in it: {names:?}");
+    assert_eq!(names.len(), 5, "{names:?}");
+}
+
+#[test]
+fn chain_causes() {
+    let cases = [
+        ("flow ended with its upstream", Cause::UpstreamEnded),
+        ("flow failed at the upstream", Cause::UpstreamFailed),
+        ("unknown flow reset", Cause::Unknown),
+        ("packet waits for its owner", Cause::OwnerMissing),
+        ("answer late", Cause::Late),
+        ("flow admitted", Cause::NotShown),
+    ];
+    for (name, cause) in cases {
+        let event = told("a", 1, name, ",\"flow\":\"tcp:10.0.0.1:5>10.1.0.1:80\"");
+        assert_eq!(Chain::find(&[event], "10.0.0.1:5>").cause, cause, "{name}");
+    }
+}
--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -131,11 +131,15 @@
         idle.map(|(flow, _)| *flow).collect()
     }
 
-    /// Adopted TCP flows whose upstream has not shown yet that it holds them.
+    /// TCP flows that were adopted `after` ago, and whose upstream has not shown yet that it holds
+    /// them.
     #[must_use]
-    pub fn unverified(&self) -> Vec<Flow> {
+    pub fn unverified(&self, now: Instant, after: Duration) -> Vec<Flow> {
         let unverified = self.flows.iter().filter(|(flow, connection)| {
-            connection.unverified && !connection.is_closed() && flow.protocol == Protocol::Tcp
+            connection.unverified
+                && !connection.is_closed()
+                && flow.protocol == Protocol::Tcp
+                && now.duration_since(connection.since) >= after
         });
         unverified.map(|(flow, _)| *flow).collect()
     }
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -118,13 +118,16 @@
     let start = Instant::now();
     let mut table = Table::new();
     table.insert(flow(1), connection::State::adopted(100, start, connection::Class::Request));
-    assert_eq!(table.unverified(), [flow(1)]);
+    // An upstream that waits for the caller's acknowledgement, which was lost with the former
+    // process, resets a connection whose probe it takes for a wrong one.
+    assert_eq!(table.unverified(start + SECOND, 3 * SECOND), []);
+    assert_eq!(table.unverified(start + 3 * SECOND, 3 * SECOND), [flow(1)]);
     let probe = table.probe(&flow(1), start).unwrap();
     assert_eq!(probe.upstream.map(|probe| probe.sequence), Some(101));
     assert_eq!(probe.caller, None);
     let event = table.outbound(&flow(1), Some(&segment(0, None, "R", 0)), start);
     assert_eq!(event, Some(None), "a flow that had ended counts as a failure");
-    assert_eq!((table.slots(), table.unverified()), (0, vec![]));
+    assert_eq!((table.slots(), table.unverified(start + 3 * SECOND, 3 * SECOND)), (0, vec![]));
 }
 
 #[test]
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use hyssopdyke::process::{
-    Barrier, Change, Cold, Lease, Limit, Outbox, Phase, Suspects, Upstream, UpstreamReport,
+    Barrier, Budget, Change, Cold, Lease, Limit, Outbox, Phase, Shaper, Suspects, Upstream,
+    UpstreamReport, Waiting,
 };
-use hyssopdyke::request::{Candidate, Draw};
+use hyssopdyke::request::{Candidate, Draw, Segment};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -328,3 +329,119 @@
     suspects.suspect(7, start);
     assert!(!suspects.is_spared(7, start + 5 * SECOND));
 }
+
+#[test]
+fn budget_flood() {
+    let start = Instant::now();
+    let mut budget = Budget::new();
+    let admitted =
+        |budget: &mut Budget, kind, at| (0..1000).filter(|_| budget.admits(kind, 20, at)).count();
+    assert_eq!(admitted(&mut budget, "flow placed", start), 20);
+    // A flood of one kind takes nothing from the others.
+    assert_eq!(admitted(&mut budget, "flow refused", start + 500 * MILLI), 20);
+    assert_eq!(admitted(&mut budget, "flow placed", start + 999 * MILLI), 0);
+    assert!(budget.take_left_out(start + 999 * MILLI).is_empty(), "the period is not over");
+    assert_eq!(admitted(&mut budget, "flow placed", start + SECOND), 20);
+    let left_out = budget.take_left_out(start + SECOND);
+    assert_eq!(
+        left_out.into_iter().collect::<Vec<_>>(),
+        [("flow placed", 1980), ("flow refused", 980)]
+    );
+}
+
+/// A packet of a flow, named by its flow and number.
+fn waiting(flow: u64, number: u32, bytes: usize) -> Waiting<(u64, u32)> {
+    let segment = Segment {
+        sequence: number,
+        acknowledgement: Some(1),
+        syn: false,
+        fin: false,
+        rst: false,
+        length: bytes as u32,
+    };
+    Waiting { segment: Some(segment), bytes, packet: (flow, number) }
+}
+
+/// Sends what a link with a short queue takes, and says how long that took.
+fn drain(shaper: &mut Shaper<(u64, u32)>, start: Instant) -> Vec<(Duration, (u64, u32))> {
+    let (mut now, mut sent) = (start, Vec::new());
+    loop {
+        while let Some(packet) = shaper.pop(now) {
+            sent.push((now - start, packet));
+        }
+        let Some(delay) = shaper.delay(now) else { return sent };
+        now += delay;
+    }
+}
+
+#[test]
+fn shaper_uploadwindows() {
+    // Load: three uploads whose callers send windows of sixteen packets at once, through an entry
+    // with a link of 3.3 Mbit/s. A queue of 40 ms would drop two thirds of them.
+    let start = Instant::now();
+    let rate = 3.3 * 125_000.0;
+    let mut shaper = Shaper::new(rate, start);
+    for flow in 0..3 {
+        for number in 0..16 {
+            assert!(shaper.push(flow, waiting(flow, number, 1232)).is_none());
+        }
+    }
+    let sent = drain(&mut shaper, start);
+    assert_eq!(sent.len(), 48);
+    let mut bytes = 0.0;
+    for (at, _) in &sent {
+        bytes += 1232.0;
+        // What stands in the link's own queue beyond what it has sent: some packets at most.
+        assert!(bytes - rate * at.as_secs_f64() < 6.0 * 1232.0, "{at:?}");
+    }
+    let (last, _) = sent[47];
+    assert!(last < Duration::from_millis(200), "{last:?}: slower than the link");
+}
+
+#[test]
+fn shaper_shortbesidelong() {
+    // Load: bookings beside uploads. A short request waits for one turn of each upload at most,
+    // which is two packets, and not for their windows.
+    let start = Instant::now();
+    let mut shaper = Shaper::new(412_500.0, start);
+    for flow in 0..4 {
+        for number in 0..16 {
+            assert!(shaper.push(flow, waiting(flow, number, 1232)).is_none());
+        }
+    }
+    while shaper.pop(start).is_some() {}
+    shaper.push(9, waiting(9, 0, 200));
+    let sent = drain(&mut shaper, start);
+    let place = sent.iter().position(|(_, (flow, _))| *flow == 9).unwrap();
+    assert!(place <= 4 * 2, "after {place} packets of uploads");
+    // And the uploads share the link.
+    let first_half = sent.iter().take(32).filter(|(_, (flow, _))| *flow == 3).count();
+    assert!((6..=10).contains(&first_half), "{first_half} of 32");
+}
+
+#[test]
+fn shaper_repetition() {
+    let start = Instant::now();
+    let mut shaper = Shaper::new(412_500.0, start);
+    while shaper.pass(1232, start) {}
+    shaper.push(1, waiting(1, 5, 1232));
+    shaper.push(1, waiting(1, 6, 1232));
+    shaper.push(1, Waiting { packet: (1, 55), ..waiting(1, 5, 1232) });
+    let sent = drain(&mut shaper, start);
+    let packets: Vec<_> = sent.into_iter().map(|(_, packet)| packet).collect();
+    assert_eq!(packets, [(1, 55), (1, 6)], "a repetition takes the place of what waits");
+    assert_eq!(shaper.waiting_bytes(), 0);
+}
+
+#[test]
+fn shaper_toomuch() {
+    // What is dropped is the oldest of the flow of which most waits.
+    let start = Instant::now();
+    let mut shaper = Shaper::new(412_500.0, start);
+    shaper.push(2, waiting(2, 0, 100));
+    let dropped: Vec<_> =
+        (0..2000).filter_map(|number| shaper.push(1, waiting(1, number, 1200))).collect();
+    assert!(!dropped.is_empty());
+    assert!(dropped.iter().zip(0..).all(|(gone, number)| gone.packet == (1, number)));
+    assert!(shaper.waiting_bytes() <= 1 << 20);
+}
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -9,6 +9,7 @@
 
 use super::worker::Worker;
 use crate::clock;
+use crate::log::unusual;
 use crate::node::decode_address;
 
 /// Time for which the flows of a member that is gone are kept for its return.
@@ -27,6 +28,8 @@
                     self.unplaced(flow, packet, forward, from);
                 } else if is_absent {
                     self.metrics.count("dropped.absent");
+                    unusual!(self.events, "packet waits for its owner"; "flow" => %flow,
+                        "owner" => &*self.name(owner));
                 } else if packet.segment.is_some_and(|s| s.opens() && s.sequence != isn) {
                     let entry = decode_address(forward.entry_address, forward.entry_port);
                     self.reoffer(flow, owner, forward.packet, entry);
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -11,12 +11,13 @@
 use hyssopdyke_wire::datagram::{
     Accepted, Declined, Forward, Offer, Owner, Reason, Room, Unknown, datagram::Body,
 };
-use slog::{debug, info, warn};
+use slog::info;
 
 use super::peers::expected_wait;
 use super::placement::WAIT;
 use super::worker::Worker;
 use crate::clock;
+use crate::log::{routine, unusual};
 use crate::node::decode_address;
 
 /// Time for which a closed flow is remembered, so that its last packets find the upstream.
@@ -32,6 +33,10 @@
 /// repeat first packets.
 const UNCONFIRMED: Duration = Duration::from_secs(3);
 
+/// Time after which adopted flows are probed: an upstream that has not got the caller's
+/// acknowledgement repeats its own first packet after 1 s (RFC 6298 section 2), and then once more.
+const VERIFIED_AFTER: Duration = Duration::from_secs(3);
+
 /// Declined flows that may wait for room at a time.
 const WAITERS: usize = 256;
 
@@ -148,8 +153,10 @@
         self.check_room(terms, &flow, route)?;
         let isn = packet.segment.map_or(0, |segment| segment.sequence);
         self.table.insert(flow, connection::State::new(isn, now, route.class));
-        debug!(self.events.logger(), "flow admitted"; "flow" => %flow,
-            "connections" => self.table.connections(), "slots" => self.table.slots());
+        routine!(self.events, "flow admitted"; "flow" => %flow, "home" => &*self.name(terms.home),
+            "connections" => self.table.connections(), "slots" => self.table.slots(),
+            "limit" => self.limit.current(),
+            "patience_ms" => terms.patience.as_millis() as u64);
         self.metrics.count("admitted");
         self.note_opened(&flow, terms.home, isn);
         if self.holder(&flow).is_some_and(|holder| holder != terms.home) {
@@ -247,11 +254,7 @@
         }
         let event = self.table.outbound(&flow, packet.segment.as_ref(), now).flatten();
         match event {
-            Some(Event::Answered(age)) => {
-                let since = now.checked_sub(age).unwrap_or(now);
-                self.limit.answered(since, now, busy);
-                self.metrics.time("answer", age);
-            }
+            Some(Event::Answered(age)) => self.note_answer(&flow, age, busy, now),
             Some(Event::Failed) => self.upstream_failed(&flow, now),
             Some(Event::Opened(time)) => self.metrics.time("opening", time),
             None => {}
@@ -261,6 +264,21 @@
         self.tell_room(now);
     }
 
+    /// Learns from an answer that came `age` after it was asked for, with `busy` slots taken.
+    fn note_answer(&mut self, flow: &Flow, age: Duration, busy: u32, now: Instant) {
+        let since = now.checked_sub(age).unwrap_or(now);
+        self.limit.answered(since, now, busy);
+        self.metrics.time("answer", age);
+        let route = self.membership.view().route(flow.service, flow.protocol);
+        let objective = route.map_or(Duration::ZERO, |route| route.objective);
+        if !objective.is_zero() && age > objective {
+            self.metrics.count("late");
+            unusual!(self.events, "answer late"; "flow" => %flow,
+                "took_ms" => age.as_millis() as u64, "objective_ms" => objective.as_millis() as u64,
+                "slots" => busy, "limit" => self.limit.current());
+        }
+    }
+
     /// Takes on a flow that the upstream holds and this agent does not know, or ends it at the
     /// upstream; true if the packet is for the caller.
     fn claim(&mut self, flow: &Flow, packet: &Packet, now: Instant) -> bool {
@@ -281,7 +299,7 @@
             // An upstream that has said that it ended closes the last flows, which nobody keeps.
             Some(None) if self.upstream.is_gone() => true,
             Some(None) => {
-                debug!(self.events.logger(), "flow taken on from its upstream"; "flow" => %flow);
+                unusual!(self.events, "flow taken on from its upstream"; "flow" => %flow);
                 self.metrics.count("claimed");
                 self.table.insert(*flow, connection::State::adopted(0, now, Class::Exchange));
                 self.note_opened(flow, 0, 0);
@@ -306,7 +324,7 @@
             return self.tell_missed(flow, home, &self.border.restore(bytes));
         }
         if self.table.remove(&flow).is_some() {
-            debug!(self.events.logger(), "upstream does not hold the flow"; "flow" => %flow);
+            unusual!(self.events, "upstream does not hold the flow"; "flow" => %flow);
             self.give_back(flow, packet, self.border.restore(bytes));
         }
     }
@@ -332,6 +350,8 @@
 
     /// Gives a flow that the upstream has not taken back to its home.
     fn place_elsewhere(&mut self, flow: Flow, bytes: &Bytes) {
+        unusual!(self.events, "upstream gave the flow back"; "flow" => %flow,
+            "connections" => self.table.connections(), "slots" => self.table.slots());
         let hash = self.hash(&flow);
         let home = self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm);
         self.table.remove(&flow);
@@ -364,10 +384,12 @@
             let flow = Some(flow.into());
             self.send_to(from, Body::Accepted(Accepted { flow, confirmed: true }));
         } else if B::SETTLES_OPENING && owner.vm != self.me {
-            debug!(self.events.logger(), "flow has another owner"; "flow" => %flow);
+            unusual!(self.events, "flow has another owner"; "flow" => %flow,
+                "owner" => &*self.name(owner.vm));
             self.table.contest(&flow);
         } else if owner.vm != self.me && self.table.get(&flow).is_some() {
-            warn!(self.events.logger(), "flow has another owner"; "flow" => %flow);
+            unusual!(self.events, "flow let go"; "flow" => %flow,
+                "owner" => &*self.name(owner.vm));
             self.reset_upstream(&flow);
             self.table.remove(&flow);
         }
@@ -400,7 +422,7 @@
             self.forget(&flow);
         }
         for flow in self.unopened(now) {
-            debug!(self.events.logger(), "upstream does not take the flow"; "flow" => %flow);
+            unusual!(self.events, "upstream does not take the flow"; "flow" => %flow);
             self.upstream_failed(&flow, now);
             self.reset_upstream(&flow);
             self.forget(&flow);
@@ -413,7 +435,8 @@
         }
         for (flow, probes) in self.table.silent(now, self.settings.probe_after, PROBE_INTERVAL) {
             if probes >= PROBES {
-                info!(self.events.logger(), "silent flow given up"; "flow" => %flow);
+                unusual!(self.events, "silent flow given up"; "flow" => %flow,
+                    "probes" => probes);
                 self.metrics.count("silent");
                 self.give_up(&flow);
             } else {
@@ -427,6 +450,8 @@
     fn sweep_idle(&mut self, now: Instant) {
         let Some(idle) = self.membership.view().idle() else { return };
         for flow in self.table.idle(now, idle) {
+            routine!(self.events, "idle flow forgotten"; "flow" => %flow,
+                "idle_ms" => idle.as_millis() as u64);
             self.forget(&flow);
         }
     }
@@ -436,7 +461,7 @@
         if !self.may_act(now) {
             return;
         }
-        for flow in self.table.unverified() {
+        for flow in self.table.unverified(now, VERIFIED_AFTER) {
             self.probe(&flow, now);
         }
     }
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -10,11 +10,11 @@
 use hyssopdyke::version::Route;
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{self, Accepted, Declined, Owner, Reason, datagram::Body};
-use slog::debug;
 
 use super::owner::Terms;
 use super::worker::Worker;
 use crate::clock;
+use crate::log::{routine, unusual};
 use crate::node::encode_address;
 
 /// Members that are asked one after another before a flow waits for room.
@@ -46,10 +46,11 @@
     pub(super) fn place(&mut self, flow: Flow, packet: Bytes, entry: Option<SocketAddr>) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
-        let Some(service) = route.draw(rand::random()).map(Into::into) else { return };
-        let offer = connection::Offer::new(packet, service, TRIES, clock::now());
+        let Some(drawn) = route.draw(rand::random()).map(Box::<str>::from) else { return };
+        let offer = connection::Offer::new(packet, drawn.clone(), TRIES, clock::now());
         self.directory.offer(flow, connection::Offer { entry, ..offer });
         self.metrics.count("placed");
+        routine!(self.events, "flow placed"; "flow" => %flow, "service" => &*drawn);
         self.ask_next(flow);
     }
 
@@ -191,11 +192,15 @@
     /// Refuses a flow of which no packet was delivered.
     pub(super) fn refuse(&mut self, flow: Flow) {
         let Some(Record::Offered(offer)) = self.directory.remove(&flow) else { return };
-        debug!(self.events.logger(), "flow refused"; "flow" => %flow);
         self.metrics.count("refused");
         let Ok(packet) = self.border.parse(&offer.packet) else { return };
         // The flow may be open at a member whose answer was lost, or that another home has asked.
-        if offer.may_be_open || packet.copies > 0 {
+        let may_be_open = offer.may_be_open || packet.copies > 0;
+        unusual!(self.events, "flow refused"; "flow" => %flow, "service" => &*offer.service,
+            "declined" => offer.declined.len(), "copies" => packet.copies,
+            "told" => !may_be_open,
+            "after_us" => clock::now().duration_since(offer.since).as_micros() as u64);
+        if may_be_open {
             return self.metrics.count("refused.silent");
         }
         self.answer_by_reset(&packet);
@@ -241,6 +246,10 @@
             Reason::Returned => "declined.returned",
             Reason::Unspecified => "declined.unspecified",
         });
+        routine!(self.events, "flow declined"; "flow" => %flow, "by" => &*self.name(vm),
+            "reason" => declined.reason().as_str_name(),
+            "queue" => declined.load.map(|load| load.queue),
+            "room" => declined.load.map(|load| load.room));
         if let Some(load) = declined.load {
             self.peers.note(vm, load);
         }
@@ -289,6 +298,7 @@
             offer.may_be_open = true;
             offer.declined.push(vm);
             self.peers.suspect(vm);
+            unusual!(self.events, "offer not answered"; "flow" => %flow, "by" => &*self.name(vm));
             self.ask_next(flow);
         } else if is_present {
             self.send_again(flow);
@@ -296,7 +306,7 @@
             offer.declined.push(vm);
             self.ask_next(flow);
         } else {
-            debug!(self.events.logger(), "datagram flow lost its upstream"; "flow" => %flow);
+            unusual!(self.events, "datagram flow lost its upstream"; "flow" => %flow);
             self.directory.remove(&flow);
             self.directory.own(flow, vm, 0);
             self.mark_absent();
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -9,10 +9,11 @@
 use hyssopdyke::version::{Member, Pool};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Record, Report, Reported, Stage, datagram::Body};
-use slog::{debug, info};
+use slog::info;
 
 use super::worker::{Increment, Worker};
 use crate::clock;
+use crate::log::unusual;
 
 /// Records in one report, so that it fits a datagram.
 const RECORDS: usize = 24;
@@ -290,7 +291,7 @@
             return;
         };
         let connection = connection::State::adopted(isn, clock::now(), route.class);
-        debug!(self.events.logger(), "flow adopted"; "flow" => %flow);
+        unusual!(self.events, "flow adopted"; "flow" => %flow);
         self.metrics.count("adopted");
         self.table.insert(flow, connection);
     }
@@ -306,7 +307,6 @@
             if let Some(pool) = self.pool.clone() {
                 self.report_own(&pool);
             }
-            self.verify_adopted(clock::now());
         }
         self.take_held();
     }
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -6,16 +6,15 @@
 
 use std::net::SocketAddr;
 
+use super::upstream::ANSWERING;
+use super::worker::Worker;
+use crate::clock;
+use crate::log::unusual;
 use bytes::Bytes;
 use hyssopdyke::connection::Flow;
 use hyssopdyke::request::{Border, Packet};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Forward, Unknown, datagram::Body};
-use slog::debug;
-
-use super::upstream::ANSWERING;
-use super::worker::Worker;
-use crate::clock;
 
 impl<B: Border> Worker<B> {
     /// Asks all members for a flow that this home does not know.
@@ -27,6 +26,7 @@
             return self.metrics.count("dropped.searched");
         }
         self.metrics.count("searched");
+        unusual!(self.events, "flow searched"; "flow" => %flow, "members" => members.len());
         for member in members {
             if member == self.me {
                 self.ask_upstream(flow, &forward.packet, self.me);
@@ -90,7 +90,8 @@
     }
 
     pub(super) fn reset_unknown(&mut self, flow: &Flow, packet: &Packet) {
-        debug!(self.events.logger(), "unknown flow reset"; "flow" => %flow);
+        unusual!(self.events, "unknown flow reset"; "flow" => %flow,
+            "records" => self.directory.len());
         self.metrics.count("reset.unknown");
         self.answer_by_reset(packet);
     }
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -8,10 +8,11 @@
 use hyssopdyke::request::Border;
 use hyssopdyke::version::Bounds;
 use hyssopdyke_platform::reports::Delivery;
-use slog::{debug, info, warn};
+use slog::{info, warn};
 
 use super::worker::Worker;
 use crate::clock;
+use crate::log::unusual;
 use crate::node::Session;
 
 /// Heartbeats within which an upstream has reported to an agent that has just started.
@@ -30,8 +31,16 @@
 
 impl<B: Border> Worker<B> {
     /// Takes in a report of the upstream; it counts before it is acknowledged.
-    pub(super) fn reported_by_upstream(&mut self, (report, acknowledge): Delivery) {
+    pub(super) fn reported_by_upstream(&mut self, delivery: Delivery) {
         let now = clock::now();
+        let (report, acknowledge) = match delivery {
+            Delivery::Report(report, acknowledge) => (report, acknowledge),
+            Delivery::Unreadable(error) => {
+                self.metrics.count("reports.unreadable");
+                unusual!(self.events, "report of the upstream refused"; "reason" => %error);
+                return;
+            }
+        };
         self.hear_upstream(now);
         let phase = report.phase;
         let change = self.upstream.report(report, now);
@@ -132,7 +141,8 @@
             let is_taken = self.table.get(&flow).is_none_or(connection::State::is_open);
             let is_heard = self.upstream_heard.is_some_and(|heard| heard > since);
             if !is_taken && !is_heard && !self.is_upstream_silent {
-                warn!(self.events.logger(), "upstream does not answer"; "flow" => %flow);
+                warn!(self.events.logger(), "upstream does not answer"; "flow" => %flow,
+                    "after_ms" => ANSWERING.as_millis() as u64);
                 self.is_upstream_silent = true;
                 self.exchange_loads(now);
             }
@@ -157,7 +167,8 @@
         let was_ejected = self.limit.is_ejected(now);
         self.limit.failed(since, now);
         self.metrics.count("failed");
-        debug!(self.events.logger(), "flow failed at the upstream"; "flow" => %flow,
+        unusual!(self.events, "flow failed at the upstream"; "flow" => %flow,
+            "age_us" => now.duration_since(since).as_micros() as u64,
             "limit" => self.limit.current());
         if !was_ejected && self.limit.is_ejected(now) {
             warn!(self.events.logger(), "upstream ejected"; "limit" => self.limit.current());
@@ -170,6 +181,7 @@
     pub(super) fn lose_all(&mut self) {
         let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
         for flow in flows {
+            unusual!(self.events, "flow ended with its upstream"; "flow" => %flow);
             self.reset_caller(&flow);
             self.forget(&flow);
         }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -95,6 +95,8 @@
     pub(super) is_member: bool,
     /// The failure domain is out, and the flows of before are served on.
     pub(super) is_out: bool,
+    /// The agent might act when that was last looked at.
+    was_active: bool,
     /// The process is about to stop and takes no new flows.
     pub(super) is_leaving: bool,
     /// Records that are not this agent's to keep may be in the directory.
@@ -163,6 +165,7 @@
             pool: None,
             is_member: false,
             is_out: false,
+            was_active: false,
             is_leaving: false,
             must_prune: false,
             is_fresh: true,
@@ -187,6 +190,16 @@
         }
     }
 
+    /// Notes whether the agent may act, where that has changed.
+    fn watch_lease(&mut self, now: Instant) {
+        let may_act = self.may_act(now);
+        if std::mem::replace(&mut self.was_active, may_act) != may_act {
+            let is_member = self.is_member;
+            info!(self.events.logger(), "right to act"; "holds" => may_act,
+                "is_member" => is_member, "is_out" => self.is_out);
+        }
+    }
+
     /// Serves until a socket fails.
     pub(super) async fn run(&mut self, session: &mut Session) -> Result<()> {
         let mut ticks = interval(TICK);
@@ -255,6 +268,12 @@
         flow.hash(self.keys)
     }
 
+    /// A member's name, for events.
+    pub(super) fn name(&self, vm: vm::Id) -> Box<str> {
+        let member = self.pool.as_ref().and_then(|pool| pool.known(vm));
+        member.map_or_else(|| format!("{vm:016x}").into(), |member| member.name.clone())
+    }
+
     /// Sends a message to a member, or to one whose failure domain is out; lost if it is gone.
     pub(super) fn send(&mut self, to: vm::Id, body: Body) {
         let address = self.pool.as_ref().and_then(|pool| pool.known(to)).map(|to| to.address);
@@ -461,6 +480,8 @@
 
     fn sweep(&mut self) {
         let now = clock::now();
+        self.watch_lease(now);
+        self.events.write_left_out();
         self.exchange_loads(now);
         if self.may_serve_own(now) {
             self.sweep_flows(now);
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -123,7 +123,7 @@
             probe_after: Duration::from_secs(30),
             datagram_idle: Duration::from_mins(1),
         };
-        let (events, _guard) = Events::open("agent", &common);
+        let (events, _writer) = Events::open("agent", &common);
         let metrics = Metrics::open("agent", &common, &events).await.unwrap();
         let membership = Membership::seated(BOOT, "d", &store(&addresses), events.clone());
         let (_, reports) = mpsc::channel(1);
@@ -135,7 +135,7 @@
         worker.is_fresh = false;
         worker.view_changed();
         let (acknowledge, _) = tokio::sync::oneshot::channel();
-        worker.reported_by_upstream((report(), acknowledge));
+        worker.reported_by_upstream(Delivery::Report(report(), acknowledge));
         let mut rig = Self { worker, peers, upstream, caller };
         // Also lets the runtime see that the sockets can be written to.
         rig.drain().await;
--- a/crates/hyssopdyked/src/command.rs
+++ b/crates/hyssopdyked/src/command.rs
@@ -161,7 +161,7 @@
     run: impl AsyncFnOnce(Settings<R>, log::Events, reload::Control, Stop) -> eyre::Result<()>,
 ) -> eyre::Result<bool> {
     // Dropped last, so that the last events are written.
-    let (events, _guard) = log::Events::open(R::SECTION, &settings.common);
+    let (events, _writer) = log::Events::open(R::SECTION, &settings.common);
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let graceful = runtime.block_on(async {
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -90,7 +90,7 @@
     let leases = Arc::new(Leases::new(role.lease));
     let mut router = api::router(handle.clone(), Arc::clone(&leases));
     if role.platform {
-        let operator = Orders::new(handle.clone(), api.local_addr()?.port());
+        let operator = Orders::new(handle.clone(), api.local_addr()?.port(), events.clone());
         router = router.merge(orders::router(operator));
     }
     let stopped = {
--- a/crates/hyssopdyked/src/control/operator.rs
+++ b/crates/hyssopdyked/src/control/operator.rs
@@ -2,13 +2,18 @@
 
 use bytes::Bytes;
 use hyssopdyke::version::Outcome;
+use hyssopdyke_platform::manifest;
 use hyssopdyke_platform::orders::{Operator, Refusal};
 use hyssopdyke_wire::ledger::{Declare, Write, command};
 use hyssopdyke_wire::resource::{Domain, Kind, Resource, resource::Body};
+use slog::info;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use super::handle::{Error, Handle};
 use super::validate;
+use crate::clock;
+use crate::log::Events;
 
 /// Carries out orders by the log, where this VM leads.
 #[derive(Clone)]
@@ -16,11 +21,23 @@
     handle: Handle,
     /// Port at which every control VM takes orders.
     port: u16,
+    events: Events,
 }
 
 impl Orders {
-    pub(super) const fn new(handle: Handle, port: u16) -> Self {
-        Self { handle, port }
+    pub(super) const fn new(handle: Handle, port: u16, events: Events) -> Self {
+        Self { handle, port, events }
+    }
+
+    /// Writes what became of an order.
+    fn note(&self, order: &str, subject: &str, since: Instant, result: &Result<(), Refusal>) {
+        let took_us = clock::now().duration_since(since).as_micros() as u64;
+        match result {
+            Ok(()) => info!(self.events.logger(), "order carried out"; "order" => order,
+                "subject" => subject, "took_us" => took_us),
+            Err(refusal) => info!(self.events.logger(), "order not carried out"; "order" => order,
+                "subject" => subject, "took_us" => took_us, "reason" => %refusal),
+        }
     }
 
     async fn propose(&self, body: command::Body) -> Result<Outcome, Refusal> {
@@ -47,7 +64,14 @@
 
 impl Operator for Orders {
     async fn declare(&self, declare: Declare) -> Result<(), Refusal> {
-        self.propose(command::Body::Declare(declare)).await.map(|_| ())
+        let (since, version) = (clock::now(), declare.version.to_string());
+        let result = self.propose(command::Body::Declare(declare)).await.map(|_| ());
+        self.note("declare", &version, since, &result);
+        result
+    }
+
+    fn refused(&self, reason: &manifest::Error) {
+        info!(self.events.logger(), "order refused"; "reason" => %reason);
     }
 
     async fn declaration(&self) -> Result<Option<Bytes>, Refusal> {
@@ -59,6 +83,16 @@
     }
 
     async fn set_out(&self, domain: &str, out: bool) -> Result<(), Refusal> {
+        let since = clock::now();
+        let result = self.write_out(domain, out).await;
+        let order = if out { "take out" } else { "take in" };
+        self.note(order, domain, since, &result);
+        result
+    }
+}
+
+impl Orders {
+    async fn write_out(&self, domain: &str, out: bool) -> Result<(), Refusal> {
         validate::name(domain).map_err(|fault| Refusal::Invalid(fault.to_string().into()))?;
         if self.handle.confirm().await.is_ok() && self.is_out(domain).await == out {
             return Ok(());
@@ -68,9 +102,7 @@
         let write = Write { resource: Some(resource), ..Write::default() };
         self.propose(command::Body::Write(write)).await.map(|_| ())
     }
-}
 
-impl Orders {
     async fn is_out(&self, domain: &str) -> bool {
         let registry = self.handle.registry().await;
         let held = registry.store().get(Kind::Domain, domain);
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -72,8 +72,7 @@
     let session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("entry", &common, &events).await?;
-    let mut worker =
-        Worker::new(border, fabric, link, membership, metrics, role.cached_flows, events.clone())?;
+    let mut worker = Worker::new(border, fabric, link, membership, metrics, &role, events.clone())?;
     let _readiness = match role.readiness {
         Some(address) => {
             let router = readiness::router(worker.ready());
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -7,20 +7,21 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Cache, Flow};
-use hyssopdyke::process::Suspects;
-use hyssopdyke::request::Border;
+use hyssopdyke::process::{Shaper, Suspects, Waiting};
+use hyssopdyke::request::{Border, Packet};
 use hyssopdyke::version::{Member, Pool, Route};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Datagram, Forward, Owner, datagram::Body};
 use hyssopdyke_wire::resource::Usage;
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use tokio::sync::watch;
 use tokio::time::{Interval, interval, sleep};
 
 use crate::clock;
-use crate::log::Events;
+use crate::log::{Events, routine, unusual};
 use crate::metrics::Metrics;
 use crate::node::{Link, Membership, Session, Tunnel, encode_address};
+use crate::settings::Entry;
 
 /// Forwards that may follow the entry's own: from the owner it remembered to the home, and on to
 /// the owner that the home knows.
@@ -32,6 +33,9 @@
 /// Time between two flushes of the metrics, and two questions to peers.
 const TICK: Duration = Duration::from_secs(1);
 
+/// Bytes a second of one megabit a second.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// Time without packets after which the fabric is taken to send no more: longer than callers'
 /// first repetitions, shorter than the grace time of a stop.
 const QUIET: Duration = Duration::from_secs(1);
@@ -45,6 +49,8 @@
     metrics: Metrics,
     cache: Cache,
     suspects: Suspects,
+    /// Packets that wait for the VM's link, where its rate is known.
+    shaper: Option<Shaper<Bytes>>,
     keys: (u64, u64),
     address: SocketAddr,
     events: Events,
@@ -63,9 +69,10 @@
         link: Link,
         membership: Membership,
         metrics: Metrics,
-        cached_flows: usize,
+        settings: &Entry,
         events: Events,
     ) -> Result<Self> {
+        let (cached_flows, link_mbit) = (settings.cached_flows, settings.link_mbit);
         let address = link.local_addr()?;
         let cache = Cache::new(cached_flows);
         let keys = link.flow_keys();
@@ -77,6 +84,7 @@
             metrics,
             cache,
             suspects: Suspects::new(),
+            shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT, clock::now())),
             keys,
             address,
             events,
@@ -93,8 +101,12 @@
 
     /// Sets whether the fabric shall send packets here.
     fn publish_ready(&self) {
-        let is_ready = !self.is_leaving && self.membership.may_act(clock::now());
-        self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
+        let may_act = self.membership.may_act(clock::now());
+        let is_ready = !self.is_leaving && may_act;
+        if self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready) {
+            info!(self.events.logger(), "right to act"; "holds" => may_act,
+                "leaves" => self.is_leaving);
+        }
     }
 
     /// Forwards packets until a socket fails.
@@ -106,6 +118,7 @@
     }
 
     async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
+        let due = self.due();
         tokio::select! {
             ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
             ready = self.link.readable() => { ready?; self.receive_batch()?; }
@@ -113,6 +126,7 @@
                 self.membership.update(update, session);
                 self.publish_ready();
             }
+            () = until_due(due) => self.forward_waiting(),
             _ = ticks.tick() => self.tick(),
         }
         session.report(self.membership.revision(), Usage::default());
@@ -145,27 +159,68 @@
             let now = clock::now();
             self.forwarded = Some(now);
             if self.membership.may_act(now) {
-                self.forward(packet);
+                self.shape(packet, now);
             } else {
                 self.metrics.count("dropped.inactive");
             }
         }
+        self.forward_waiting();
         Ok(())
     }
 
-    fn forward(&mut self, bytes: Bytes) {
+    /// Forwards a packet at once, or lets it wait for the link.
+    fn shape(&mut self, bytes: Bytes, now: Instant) {
         let Ok(packet) = self.border.parse(&bytes) else {
             return self.metrics.count("dropped.malformed");
         };
         let flow = packet.inbound();
+        let Some(shaper) = &mut self.shaper else { return self.forward(bytes, &packet, flow) };
+        if shaper.pass(bytes.len(), now) {
+            return self.forward(bytes, &packet, flow);
+        }
+        let waiting = Waiting { segment: packet.segment, bytes: bytes.len(), packet: bytes };
+        if shaper.push(flow.hash(self.keys), waiting).is_some() {
+            self.metrics.count("dropped.queue");
+        }
+    }
+
+    /// How long the packets that wait for the link do so; `None` where none does.
+    fn due(&mut self) -> Option<Duration> {
+        self.shaper.as_mut().and_then(|shaper| shaper.delay(clock::now()))
+    }
+
+    /// Forwards the packets that the link takes now.
+    fn forward_waiting(&mut self) {
+        let now = clock::now();
+        while let Some(bytes) = self.shaper.as_mut().and_then(|shaper| shaper.pop(now)) {
+            if !self.membership.may_act(now) {
+                self.metrics.count("dropped.inactive");
+                continue;
+            }
+            // What waits was read before.
+            if let Ok(packet) = self.border.parse(&bytes) {
+                let flow = packet.inbound();
+                self.forward(bytes, &packet, flow);
+            }
+        }
+    }
+
+    fn forward(&mut self, bytes: Bytes, packet: &Packet, flow: Flow) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else {
+            unusual!(self.events, "packet has no route"; "flow" => %flow,
+                "declared" => view.declared());
             return self.metrics.count("dropped.unknown_service");
         };
         let opens = packet.segment.is_none_or(|segment| segment.opens());
         let Some((target, stand_in)) = self.target(route, &flow, opens, packet.copies) else {
+            unusual!(self.events, "packet has no member to go to"; "flow" => %flow,
+                "out" => route.pool.out.len());
             return self.metrics.count("dropped.no_member");
         };
+        if opens {
+            self.note_opening(&flow, packet, target, stand_in);
+        }
         let (entry_address, entry_port) = encode_address(self.address);
         let forward = Forward {
             packet: bytes,
@@ -182,6 +237,17 @@
         }
     }
 
+    /// Writes where a flow's first packet goes.
+    fn note_opening(&self, flow: &Flow, packet: &Packet, to: &Member, stand_in: bool) {
+        if stand_in || packet.copies > 0 {
+            unusual!(self.events, "first packet goes past its home"; "flow" => %flow,
+                "to" => &*to.name, "copies" => packet.copies, "stand_in" => stand_in);
+        } else {
+            routine!(self.events, "first packet goes to its home"; "flow" => %flow,
+                "to" => &*to.name);
+        }
+    }
+
     /// The member that a packet goes to, and whether it is asked in place of the flow's home.
     fn target<'a>(
         &mut self,
@@ -211,6 +277,8 @@
             && let Some(last) = pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
         {
             self.suspects.suspect(last, now);
+            let name = pool.member(last).map(|member| &*member.name);
+            unusual!(self.events, "member spared"; "member" => name, "copies" => copies);
         }
         pool.stand_in(hash, |vm| self.suspects.is_spared(vm, now))
     }
@@ -272,8 +340,11 @@
 
     fn tick(&mut self) {
         self.publish_ready();
+        self.events.write_left_out();
         self.ask_suspects();
         self.membership.ask_peers(&mut self.link, clock::now());
+        let waiting = self.shaper.as_ref().map_or(0, Shaper::waiting_bytes);
+        self.metrics.gauge("waiting_bytes", waiting as u64);
         self.metrics.gauge("cached_flows", self.cache.len() as u64);
         self.metrics.gauge("revision", self.membership.revision());
         let counts = self.metrics.flush();
@@ -285,3 +356,11 @@
         }
     }
 }
+
+/// Waits for a time, or for ever where there is none.
+async fn until_due(delay: Option<Duration>) {
+    match delay {
+        Some(delay) => sleep(delay).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -2,17 +2,79 @@
 //!
 //! Each event carries the process's role, VM and failure domain, the revision that it acts by,
 //! and both a wall-clock and a monotonic time.
+//!
+//! What flows bring about is written by [`routine!`] and [`unusual!`], within a budget for each
+//! kind of event and second. The rest is counted, and the count is written.
 
-use std::sync::{Arc, PoisonError, RwLock};
-use std::time::{Instant, SystemTime};
+use std::sync::{Arc, Mutex, PoisonError, RwLock, mpsc};
+use std::time::{Duration, Instant, SystemTime};
 
-use slog::{Drain, FnValue, Level, Logger, o};
+use hyssopdyke::process::{Budget, EventKind};
+use slog::{Drain, FnValue, Level, Logger, info, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
 
+use crate::clock;
 use crate::settings::{Common, Form};
 
-/// Events that may wait for the writer.
-const QUEUE: usize = 65_536;
+/// Events that may wait for the writer: some seconds of all budgets, in a few megabytes.
+const QUEUE: usize = 8192;
+
+/// Events a second of one kind that each flow brings about.
+const ROUTINE: u32 = 16;
+
+/// Events a second of one kind that shows trouble, such as refusals: what operators look for.
+const UNUSUAL: u32 = 64;
+
+/// How often an event comes while all is well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Rank {
+    /// With each flow.
+    Routine,
+    /// Only with trouble.
+    Unusual,
+}
+
+/// Writes an event that each flow brings about.
+macro_rules! routine {
+    ($events:expr, $event:literal; $($rest:tt)*) => {
+        if let Some(logger) = $events.admit($event, $crate::log::Rank::Routine) {
+            slog::info!(logger, $event; $($rest)*);
+        }
+    };
+}
+
+/// Writes an event of a flow that only trouble brings about.
+macro_rules! unusual {
+    ($events:expr, $event:literal; $($rest:tt)*) => {
+        if let Some(logger) = $events.admit($event, $crate::log::Rank::Unusual) {
+            slog::info!(logger, $event; $($rest)*);
+        }
+    };
+}
+
+pub(crate) use {routine, unusual};
+
+/// Time that a stopping process gives the reader of its events: a reader that is stuck must not
+/// hold up the stop.
+const LAST_EVENTS: Duration = Duration::from_secs(1);
+
+/// The end of a log, which writes the last events when it is dropped.
+pub(crate) struct Writer {
+    guard: Option<AsyncGuard>,
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        let guard = self.guard.take();
+        let (done, written) = mpsc::channel();
+        std::thread::spawn(move || {
+            drop(guard);
+            // Nobody waits any more where the reader was stuck.
+            let _ = done.send(());
+        });
+        let _ = written.recv_timeout(LAST_EVENTS);
+    }
+}
 
 /// A handle for writing events.
 #[derive(Clone)]
@@ -21,16 +83,18 @@
     /// The root with the revision that events carry now. Values that are worked out when an event
     /// is written would show the revision of that time.
     current: Arc<RwLock<Logger>>,
+    budget: Arc<Mutex<Budget>>,
+    level: Level,
 }
 
 impl Events {
-    /// Opens the log of a process on standard output; what was written is out once the guard is
+    /// Opens the log of a process on standard output; what was written is out once the writer is
     /// dropped.
-    pub(crate) fn open(role: &'static str, common: &Common) -> (Self, AsyncGuard) {
+    pub(crate) fn open(role: &'static str, common: &Common) -> (Self, Writer) {
         let (level, form) = (common.log.level, common.log.form);
         let (drain, guard) = drain(level, form);
         let root = Logger::root(
-            drain.fuse(),
+            drain.ignore_res(),
             o!(
                 "process" => role,
                 "vm" => common.vm.name.to_string(),
@@ -39,7 +103,29 @@
             ),
         );
         let current = Arc::new(RwLock::new(root.new(o!("revision" => 0))));
-        (Self { root, current }, guard)
+        let budget = Arc::new(Mutex::new(Budget::new()));
+        (Self { root, current, budget, level }, Writer { guard: Some(guard) })
+    }
+
+    /// The logger for one more event of a kind, where its budget is not spent.
+    pub(crate) fn admit(&self, kind: EventKind, rank: Rank) -> Option<Logger> {
+        if !Level::Info.is_at_least(self.level) {
+            return None;
+        }
+        let most = match rank {
+            Rank::Routine => ROUTINE,
+            Rank::Unusual => UNUSUAL,
+        };
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.admits(kind, most, clock::now()).then(|| self.logger())
+    }
+
+    /// Writes how many events were left out in the seconds that are over.
+    pub(crate) fn write_left_out(&self) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        for (kind, count) in budget.take_left_out(clock::now()) {
+            info!(self.logger(), "events left out"; "kind" => kind, "count" => count);
+        }
     }
 
     /// The logger, for slog's macros.
@@ -58,7 +144,7 @@
     match form {
         Form::Terminal => {
             let decorator = slog_term::TermDecorator::new().stdout().build();
-            queue(slog_term::FullFormat::new(decorator).build().fuse(), level)
+            queue(slog_term::FullFormat::new(decorator).build().ignore_res(), level)
         }
         Form::Json => queue(json(), level),
     }
@@ -75,7 +161,8 @@
     // Whole lines are written, so that a process that is killed leaves no part of one.
     let lines = std::io::LineWriter::new(std::io::stdout());
     let json = slog_json::Json::new(lines).add_key_value(values).build();
-    std::sync::Mutex::new(json).fuse()
+    // Nothing can be written of a line that could not be written.
+    Mutex::new(json).ignore_res()
 }
 
 fn wall_micros() -> u64 {
@@ -87,7 +174,7 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let filtered = drain.filter_level(level).fuse();
+    let filtered = drain.filter_level(level).ignore_res();
     // The writer reports how many events it had to drop.
     Async::new(filtered)
         .chan_size(QUEUE)
--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -21,7 +21,7 @@
         cluster: Cluster { passphrase: "for tests only, long".into(), control: Vec::new() },
         log: Log { level: slog::Level::Critical, form: Form::Json, statsd: None, metrics: None },
     };
-    let (events, _guard) = Events::open("agent", &common);
+    let (events, _writer) = Events::open("agent", &common);
     Membership::new(BOOT, "d".into(), events)
 }
 
--- a/crates/hyssopdyked/src/settings/entry.rs
+++ b/crates/hyssopdyked/src/settings/entry.rs
@@ -22,6 +22,8 @@
     pub(crate) peer_port: u16,
     /// Flows whose owner is remembered.
     pub(crate) cached_flows: usize,
+    /// Rate of the VM's link in megabits a second; without it packets are not held back.
+    pub(crate) link_mbit: Option<f64>,
 }
 
 impl Role for Entry {
@@ -40,6 +42,11 @@
         let (least, most) = (Duration::from_millis(100), Duration::from_hours(1));
         let grace = section.time("grace", Duration::from_secs(5), (least, most));
         let readiness = section.optional("readiness", "a socket address");
+        let link_mbit = section.optional("link_mbit", "a rate in megabits a second");
+        if link_mbit.is_some_and(|rate: f64| !rate.is_finite() || rate <= 0.0) {
+            let value = link_mbit.unwrap_or_default().to_string().into();
+            section.fault("link_mbit", Cause::Form { value, expected: "a rate above zero" });
+        }
         let address = vm?.address;
         Some(Self {
             packets: packets.unwrap_or(PacketForm::Tunneled),
@@ -48,6 +55,7 @@
             grace: grace?,
             peer_port: peer_port?,
             cached_flows: cached_flows?,
+            link_mbit,
         })
     }
 }
@@ -62,6 +70,10 @@
         }
         writeln!(formatter, "grace = {}", humantime::format_duration(self.grace))?;
         writeln!(formatter, "peer_port = {}", self.peer_port)?;
-        writeln!(formatter, "cached_flows = {}", self.cached_flows)
+        writeln!(formatter, "cached_flows = {}", self.cached_flows)?;
+        if let Some(rate) = self.link_mbit {
+            writeln!(formatter, "link_mbit = {rate}")?;
+        }
+        Ok(())
     }
 }
