feat(entry,timeline): callers that repeat themselves are written; clocks are set by when control made a revision

An entry notes the number of the last packet that it sent to a flow's owner: a repetition shows that the packet or its answer was lost, which nobody else sees. Counter 'repeated', event 'caller repeats a packet'.

Control now writes 'revision in use' when it applies one, and only that counts.

--- a/crates/hyssopctl/src/timeline/order.rs
+++ b/crates/hyssopctl/src/timeline/order.rs
@@ -8,10 +8,13 @@
 
 use super::event::Event;
 
+/// Event that control and daemons write as soon as they act by a revision.
+const IN_USE: &str = "revision in use";
+
 /// Sorts events by time, after the clocks of daemons were set by the revisions they show.
 pub(crate) fn arrange(events: &mut [Event]) {
     let mut made: HashMap<u64, u64> = HashMap::new();
-    for event in events.iter().filter(|event| &*event.process == "control") {
+    for event in events.iter().filter(|event| is_cause(event)) {
         let first = made.entry(event.revision).or_insert(event.wall_us);
         *first = event.wall_us.min(*first);
     }
@@ -29,3 +32,8 @@
         (a.wall_us, &a.vm, a.pid, a.mono_us).cmp(&(b.wall_us, &b.vm, b.pid, b.mono_us))
     });
 }
+
+/// Whether an event shows when control made a revision; later ones carry the same revision.
+fn is_cause(event: &Event) -> bool {
+    &*event.process == "control" && &*event.event == IN_USE
+}
--- a/crates/hyssopctl/src/timeline/why.rs
+++ b/crates/hyssopctl/src/timeline/why.rs
@@ -32,6 +32,8 @@
     OwnerMissing,
     /// The upstream took longer than the objective.
     Late,
+    /// The caller repeats itself, and nobody says why.
+    NotAnswered,
     /// No route, or no member behind it.
     NoRoute,
     /// Nothing that was written shows trouble.
@@ -39,7 +41,7 @@
 }
 
 /// Events that decide, the most telling first.
-const DECIDING: [(&str, Cause); 10] = [
+const DECIDING: [(&str, Cause); 11] = [
     ("flow refused", Cause::NoRoom),
     ("flow ended with its upstream", Cause::UpstreamEnded),
     ("flow failed at the upstream", Cause::UpstreamFailed),
@@ -50,6 +52,7 @@
     ("packet has no member to go to", Cause::NoRoute),
     ("silent flow given up", Cause::UpstreamFailed),
     ("answer late", Cause::Late),
+    ("caller repeats a packet", Cause::NotAnswered),
 ];
 
 /// The events that bear on one flow, and its cause.
@@ -98,6 +101,9 @@
             Self::Unknown => "reset after its opening: no member serves it",
             Self::OwnerMissing => "silent: the agent that owns it does not answer",
             Self::Late => "answered late: the upstream took longer than the objective",
+            Self::NotAnswered => {
+                "silent: packets to its owner or the owner's answers are lost on their way"
+            }
             Self::NoRoute => "dropped: there is no route, or no member behind it",
             Self::NotShown => "nothing that was written shows trouble",
         })
--- a/crates/hyssopdyke/src/connection/cache.rs
+++ b/crates/hyssopdyke/src/connection/cache.rs
@@ -7,12 +7,20 @@
 
 use crate::vm;
 
+/// What is remembered of a flow.
+#[derive(Debug, Clone, Copy)]
+struct Line {
+    owner: vm::Id,
+    /// Number of the last packet that was sent to the owner; 0 before the first.
+    sequence: u32,
+}
+
 /// Bounded map from the hash of a flow to its owner.
 #[derive(Debug, Default)]
 pub struct Cache {
     generation_lines: usize,
-    young: HashMap<u64, vm::Id>,
-    old: HashMap<u64, vm::Id>,
+    young: HashMap<u64, Line>,
+    old: HashMap<u64, Line>,
 }
 
 impl Cache {
@@ -24,20 +32,31 @@
 
     /// Owner of a flow; a hit keeps the line young.
     pub fn owner(&mut self, flow: u64) -> Option<vm::Id> {
-        if let Some(owner) = self.young.get(&flow) {
-            return Some(*owner);
+        if let Some(line) = self.young.get(&flow) {
+            return Some(line.owner);
         }
-        let owner = self.old.remove(&flow)?;
-        self.insert(flow, owner);
-        Some(owner)
+        let line = self.old.remove(&flow)?;
+        self.add(flow, line);
+        Some(line.owner)
+    }
+
+    /// Notes the number of a packet that goes to the owner; true if it is that of the last one, so
+    /// that the caller has not heard of it.
+    pub fn is_repeated(&mut self, flow: u64, sequence: u32) -> bool {
+        let line = self.young.get_mut(&flow);
+        line.is_some_and(|line| std::mem::replace(&mut line.sequence, sequence) == sequence)
     }
 
     /// Remembers the owner of a flow.
     pub fn insert(&mut self, flow: u64, owner: vm::Id) {
+        self.add(flow, Line { owner, sequence: 0 });
+    }
+
+    fn add(&mut self, flow: u64, line: Line) {
         if self.young.len() >= self.generation_lines && !self.young.contains_key(&flow) {
             self.old = std::mem::take(&mut self.young);
         }
-        self.young.insert(flow, owner);
+        self.young.insert(flow, line);
     }
 
     /// Forgets a flow.
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -207,6 +207,17 @@
     assert_eq!(cache.owner(0), None);
 }
 
+#[test]
+fn cache_repeated() {
+    let mut cache = Cache::new(100);
+    assert!(!cache.is_repeated(1, 5), "a flow that is not remembered");
+    cache.insert(1, 7);
+    assert!(!cache.is_repeated(1, 5));
+    assert!(cache.is_repeated(1, 5));
+    assert!(!cache.is_repeated(1, 6));
+    assert!(!cache.is_repeated(1, 5), "an older packet is no repetition of the last");
+}
+
 fn tcp(flags: fn(etherparse::PacketBuilderStep<etherparse::TcpHeader>) -> Vec<u8>) -> Vec<u8> {
     let ip = etherparse::PacketBuilder::ipv4([10, 0, 0, 1], [10, 1, 0, 1], 9);
     flags(ip.tcp(5, 80, 100, 9))
--- a/crates/hyssopdyked/src/control/consensus/mod.rs
+++ b/crates/hyssopdyked/src/control/consensus/mod.rs
@@ -299,7 +299,11 @@
         }
         let revision = registry.store().revision();
         self.events.set_revision(revision);
-        self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
+        let is_new =
+            self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
+        if is_new {
+            info!(self.events.logger(), "revision in use");
+        }
         let is_long = self.applied - self.journal.snapshot().index >= SNAPSHOT_ENTRIES
             || self.journal.log_bytes() >= SNAPSHOT_BYTES;
         if is_long && !self.journal.is_failed() {
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -220,6 +220,8 @@
         };
         if opens {
             self.note_opening(&flow, packet, target, stand_in);
+        } else {
+            self.note_repetition(&flow, packet, target);
         }
         let (entry_address, entry_port) = encode_address(self.address);
         let forward = Forward {
@@ -248,6 +250,16 @@
         }
     }
 
+    /// Writes that a caller repeats itself: its packet, or the answer to it, was lost.
+    fn note_repetition(&mut self, flow: &Flow, packet: &Packet, to: &Member) {
+        let Some(segment) = packet.segment.filter(|segment| segment.length > 0) else { return };
+        if self.cache.is_repeated(flow.hash(self.keys), segment.sequence) {
+            self.metrics.count("repeated");
+            unusual!(self.events, "caller repeats a packet"; "flow" => %flow, "to" => &*to.name,
+                "sequence" => segment.sequence, "length" => segment.length);
+        }
+    }
+
     /// The member that a packet goes to, and whether it is asked in place of the flow's home.
     fn target<'a>(
         &mut self,
