feat(entry): entries that are cut off leave the rotation; fix(agent): adopted flows that a probe resets may go on

Probes are sent at once again. An adopted flow whose probe is reset gives its slot back and stays for LINGER, is reported meanwhile, and goes on if its upstream answers the caller.

--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -56,6 +56,10 @@
     asked: Option<Instant>,
     /// The upstream has not been heard since the flow was adopted.
     pub(super) unverified: bool,
+    /// When the upstream reset the adopted flow. One that still waits for the caller's
+    /// acknowledgement, which was lost with the former process, resets probes as well (RFC 9293
+    /// section 3.10.7.4) and keeps the connection, so that the flow may go on.
+    pub(super) disowned: Option<Instant>,
     handshake: Handshake,
     /// Another upstream was offered the flow, too, and is taken for its owner.
     contested: bool,
@@ -79,6 +83,7 @@
             probes: 0,
             asked: None,
             unverified: false,
+            disowned: None,
             handshake: Handshake::Asked,
             contested: false,
             class,
@@ -102,6 +107,11 @@
         self.closed.is_some()
     }
 
+    /// Since when the flow has been over, or seems to be.
+    pub(super) fn ended(&self) -> Option<Instant> {
+        self.closed.or(self.disowned)
+    }
+
     /// Whether the flow holds a slot.
     #[must_use]
     pub const fn has_slot(&self) -> bool {
@@ -178,12 +188,18 @@
             return self.release_slot().then_some(Event::Answered(age));
         };
         if segment.rst {
+            if was_unverified {
+                // The flow has most likely ended before it was adopted.
+                self.slot = false;
+                self.disowned = Some(now);
+                return None;
+            }
             let unfinished = self.upstream.fin.is_none() && self.caller.fin.is_none();
-            // An adopted flow that the upstream does not hold has ended before it was adopted.
-            let failed = !self.is_closed() && !was_unverified && (unfinished || self.slot);
+            let is_known = !self.is_closed() && self.disowned.is_none();
             self.close(now);
-            return failed.then_some(Event::Failed);
+            return (is_known && (unfinished || self.slot)).then_some(Event::Failed);
         }
+        self.disowned = None;
         self.upstream.sent(segment);
         if let Some(number) = segment.acknowledgement {
             self.caller.acknowledge(number);
--- a/crates/hyssopdyke/src/connection/table.rs
+++ b/crates/hyssopdyke/src/connection/table.rs
@@ -105,10 +105,10 @@
         self.update(flow, |connection| connection.close(now));
     }
 
-    /// Flows that were closed `linger` ago, and UDP flows that were silent for `idle`.
+    /// Flows that were closed or disowned `linger` ago, and UDP flows that were silent for `idle`.
     #[must_use]
     pub fn expired(&self, now: Instant, linger: Duration, idle: Duration) -> Vec<Flow> {
-        let is_expired = |flow: &Flow, connection: &State| match connection.closed {
+        let is_expired = |flow: &Flow, connection: &State| match connection.ended() {
             Some(since) => now.duration_since(since) >= linger,
             None if flow.protocol == Protocol::Udp => {
                 let heard = connection.caller_heard.max(connection.upstream_heard);
@@ -131,15 +131,11 @@
         idle.map(|(flow, _)| *flow).collect()
     }
 
-    /// TCP flows that were adopted `after` ago, and whose upstream has not shown yet that it holds
-    /// them.
+    /// Adopted TCP flows whose upstream has not shown yet that it holds them.
     #[must_use]
-    pub fn unverified(&self, now: Instant, after: Duration) -> Vec<Flow> {
+    pub fn unverified(&self) -> Vec<Flow> {
         let unverified = self.flows.iter().filter(|(flow, connection)| {
-            connection.unverified
-                && !connection.is_closed()
-                && flow.protocol == Protocol::Tcp
-                && now.duration_since(connection.since) >= after
+            connection.unverified && !connection.is_closed() && flow.protocol == Protocol::Tcp
         });
         unverified.map(|(flow, _)| *flow).collect()
     }
--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod barrier;
 mod budget;
 mod cold;
+mod contact;
 mod disk;
 mod journal;
 mod lease;
@@ -15,6 +16,7 @@
 pub use barrier::Barrier;
 pub use budget::{Budget, EventKind};
 pub use cold::Cold;
+pub use contact::Contact;
 pub use disk::{Disk, Folder};
 pub use journal::{Error as JournalError, Journal};
 pub use lease::Lease;
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -147,6 +147,12 @@
         self.peers.contains_key(&address)
     }
 
+    /// Whether there are processes outside a failure domain.
+    #[must_use]
+    pub fn has_peer_outside(&self, domain: &str) -> bool {
+        self.peers.values().any(|peer| *peer.domain != *domain)
+    }
+
     /// Addresses of processes outside a failure domain, agents first.
     #[must_use]
     pub fn peers_outside(&self, domain: &str) -> Vec<SocketAddr> {
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -33,10 +33,6 @@
 /// repeat first packets.
 const UNCONFIRMED: Duration = Duration::from_secs(3);
 
-/// Time after which adopted flows are probed: an upstream that has not got the caller's
-/// acknowledgement repeats its own first packet after 1 s (RFC 6298 section 2), and then once more.
-const VERIFIED_AFTER: Duration = Duration::from_secs(3);
-
 /// Declined flows that may wait for room at a time.
 const WAITERS: usize = 256;
 
@@ -461,7 +457,7 @@
         if !self.may_act(now) {
             return;
         }
-        for flow in self.table.unverified(now, VERIFIED_AFTER) {
+        for flow in self.table.unverified() {
             self.probe(&flow, now);
         }
     }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -307,6 +307,7 @@
             if let Some(pool) = self.pool.clone() {
                 self.report_own(&pool);
             }
+            self.verify_adopted(clock::now());
         }
         self.take_held();
     }
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Cache, Flow};
-use hyssopdyke::process::{Shaper, Suspects, Waiting};
+use hyssopdyke::process::{Contact, Shaper, Suspects, Waiting};
 use hyssopdyke::request::{Border, Packet};
 use hyssopdyke::version::{Member, Pool, Route};
 use hyssopdyke::vm;
@@ -33,6 +33,9 @@
 /// Time between two flushes of the metrics, and two questions to peers.
 const TICK: Duration = Duration::from_secs(1);
 
+/// Time between two looks at whether this entry is cut off: a part of the silence that shows it.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Bytes a second of one megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
@@ -40,6 +43,18 @@
 /// first repetitions, shorter than the grace time of a stop.
 const QUIET: Duration = Duration::from_secs(1);
 
+/// What is done again and again.
+struct Ticks {
+    publishing: Interval,
+    looking: Interval,
+}
+
+impl Ticks {
+    fn new() -> Self {
+        Self { publishing: interval(TICK), looking: interval(LOOK) }
+    }
+}
+
 /// The entry's sockets and what it remembers.
 pub(super) struct Worker<B> {
     border: B,
@@ -49,6 +64,8 @@
     metrics: Metrics,
     cache: Cache,
     suspects: Suspects,
+    /// Whether this entry hears anybody outside its failure domain.
+    contact: Contact,
     /// Packets that wait for the VM's link, where its rate is known.
     shaper: Option<Shaper<Bytes>>,
     keys: (u64, u64),
@@ -84,6 +101,7 @@
             metrics,
             cache,
             suspects: Suspects::new(),
+            contact: Contact::new(clock::now()),
             shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT, clock::now())),
             keys,
             address,
@@ -100,24 +118,37 @@
     }
 
     /// Sets whether the fabric shall send packets here.
+    ///
+    /// An entry that is cut off reaches only the upstreams of its own failure domain, while the
+    /// entries of the others reach most. It forwards what it is sent all the same.
     fn publish_ready(&self) {
-        let may_act = self.membership.may_act(clock::now());
-        let is_ready = !self.is_leaving && may_act;
+        let now = clock::now();
+        let (may_act, is_cut_off) = (self.membership.may_act(now), self.contact.is_lost(now));
+        let is_ready = !self.is_leaving && may_act && !is_cut_off;
         if self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready) {
-            info!(self.events.logger(), "right to act"; "holds" => may_act,
-                "leaves" => self.is_leaving);
+            info!(self.events.logger(), "readiness changed"; "is_ready" => is_ready,
+                "may_act" => may_act, "cut_off" => is_cut_off, "leaves" => self.is_leaving);
         }
     }
 
+    /// Asks processes outside the failure domain while nothing is heard from there.
+    fn look_after_contact(&mut self) {
+        let now = clock::now();
+        if self.membership.has_outside() && self.contact.ask(now) {
+            self.membership.ask_peers(&mut self.link, now);
+        }
+        self.publish_ready();
+    }
+
     /// Forwards packets until a socket fails.
     pub(super) async fn run(&mut self, session: &mut Session) -> Result<()> {
-        let mut ticks = interval(TICK);
+        let mut ticks = Ticks::new();
         loop {
             self.serve_next(session, &mut ticks).await?;
         }
     }
 
-    async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
+    async fn serve_next(&mut self, session: &mut Session, ticks: &mut Ticks) -> Result<()> {
         let due = self.due();
         tokio::select! {
             ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
@@ -127,7 +158,8 @@
                 self.publish_ready();
             }
             () = until_due(due) => self.forward_waiting(),
-            _ = ticks.tick() => self.tick(),
+            _ = ticks.looking.tick() => self.look_after_contact(),
+            _ = ticks.publishing.tick() => self.tick(),
         }
         session.report(self.membership.revision(), Usage::default());
         Ok(())
@@ -138,7 +170,7 @@
         self.is_leaving = true;
         self.publish_ready();
         let start = clock::now();
-        let mut ticks = interval(TICK);
+        let mut ticks = Ticks::new();
         loop {
             let quiet_since = self.forwarded.map_or(start, |last| last.max(start));
             let left = QUIET.saturating_sub(clock::now() - quiet_since);
@@ -311,6 +343,9 @@
     fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let revision = datagram.revision;
         self.suspects.clear(from);
+        if self.membership.is_outside(from) {
+            self.contact.hear(clock::now());
+        }
         self.membership.follow(&mut self.link, from, revision);
         match datagram.body {
             Some(Body::Owner(owner)) => self.learn(&owner),
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -138,6 +138,16 @@
         changed
     }
 
+    /// Whether a peer is in another failure domain.
+    pub(crate) fn is_outside(&self, peer: SocketAddr) -> bool {
+        self.view.domain_of(peer).is_some_and(|domain| *domain != *self.domain)
+    }
+
+    /// Whether there are peers in other failure domains.
+    pub(crate) fn has_outside(&self) -> bool {
+        self.view.has_peer_outside(&self.domain)
+    }
+
     /// Asks peers to vouch for this process while control does not renew its lease.
     pub(crate) fn ask_peers(&mut self, link: &mut Link, now: Instant) {
         let peers = self.view.peers_outside(&self.domain);
@@ -168,9 +178,8 @@
 
     /// Takes in a peer's answer to a ping, sent at `revision`.
     pub(crate) fn vouch(&mut self, from: SocketAddr, revision: u64, pong: Pong) {
-        let is_outside = self.view.domain_of(from).is_some_and(|domain| *domain != *self.domain);
         // A peer that is ahead may know that this domain was taken out.
-        if is_outside && pong.active && revision <= self.revision() {
+        if self.is_outside(from) && pong.active && revision <= self.revision() {
             self.lease.answer(pong.nonce);
         }
     }
--- a/crates/hyssopdyked/tests/templates.rs
+++ b/crates/hyssopdyked/tests/templates.rs
@@ -25,6 +25,7 @@
         ("data_dir", "data"),
         ("bounds.grace_s", "6"),
         ("fault_tolerance.machines", "1"),
+        ("limits.link_mbps", "3.3"),
     ]
     .into()
 }
@@ -41,6 +42,8 @@
         let after = text[end + "{{/bootstrap}}".len()..].to_owned();
         text = format!("{}{}{after}", &text[..start], if is_first { &inside } else { "" });
     }
+    // A value that is there renders its section once.
+    text = text.replace("{{#limits.link_mbps}}\n", "").replace("{{/limits.link_mbps}}\n", "");
     for (name, value) in fields() {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
@@ -70,6 +73,7 @@
         "packets = platform",
         "fabric = 127.3.2.1:8172",
         "control = 127.3.2.1:7720, 127.3.2.2:7720",
+        "link_mbit = 3.3",
     ] {
         assert!(settings.contains(line), "{line} is not in\n{settings}");
     }
