--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -382,6 +382,7 @@
         } else if B::SETTLES_OPENING && owner.vm != self.me {
             unusual!(self.events, "flow has another owner"; "flow" => %flow,
                 "owner" => &*self.name(owner.vm));
+            self.metrics.count("contested");
             self.table.contest(&flow);
         } else if owner.vm != self.me && self.table.get(&flow).is_some() {
             unusual!(self.events, "flow let go"; "flow" => %flow,
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -298,6 +298,7 @@
             offer.may_be_open = true;
             offer.declined.push(vm);
             self.peers.suspect(vm);
+            self.metrics.count("offers.unanswered");
             unusual!(self.events, "offer not answered"; "flow" => %flow, "by" => &*self.name(vm));
             self.ask_next(flow);
         } else if is_present {
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -182,6 +182,7 @@
         let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
         for flow in flows {
             unusual!(self.events, "flow ended with its upstream"; "flow" => %flow);
+            self.metrics.count("reset.gone");
             self.reset_caller(&flow);
             self.forget(&flow);
         }
--- a/crates/hyssopdyked/src/command.rs
+++ b/crates/hyssopdyked/src/command.rs
@@ -8,7 +8,7 @@
 use crate::reload;
 use crate::settings::{Agent, Common, Control, Entry, Error, Form, Role, Settings};
 use crate::stop::Stop;
-use crate::{agent, control, entry, log};
+use crate::{agent, control, entry, log, metrics};
 
 /// The daemon stopped as it was asked to.
 const EXIT_STOPPED: u8 = 0;
@@ -47,6 +47,7 @@
                 ),
             ),
         )
+        .subcommand(Command::new("metrics").about("Print the table of all metrics"))
         .subcommand(Command::new("completion").about("Print a shell's completion script").arg(
             Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)),
         ))
@@ -99,6 +100,10 @@
                 control::run(settings, events, control, stop).await
             })
         }
+        Some(("metrics", _)) => {
+            print!("{}", metrics::table());
+            EXIT_STOPPED
+        }
         Some(("completion", matches)) => complete(matches),
         _ => EXIT_USAGE,
     };
--- a/crates/hyssopdyked/src/metrics.rs
+++ b/crates/hyssopdyked/src/metrics/mod.rs
@@ -3,6 +3,8 @@
 //! Counters are added up in the process and published once a second, so that a packet costs no
 //! message. Names are known when the program is built, so that their number is bounded.
 
+mod names;
+
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -22,6 +24,9 @@
 use crate::log::Events;
 use crate::node::Server;
 use crate::settings::Common;
+use names::{Form, METRICS};
+
+pub(crate) use names::table;
 
 /// Name of a metric, without the prefix.
 pub(crate) type Name = &'static str;
@@ -71,16 +76,19 @@
 
     /// Adds one to a counter.
     pub(crate) fn count(&mut self, name: Name) {
+        debug_assert!(is_named(name, Form::Count), "{name}");
         *self.counts.entry(name).or_default() += 1;
     }
 
     /// Notes how long something took.
     pub(crate) fn time(&self, name: Name, time: Duration) {
+        debug_assert!(is_named(name, Form::Time), "{name}");
         self.times.with_label_values(&[name]).observe(time.as_secs_f64());
     }
 
     /// Publishes a gauge.
     pub(crate) fn gauge(&self, name: Name, value: u64) {
+        debug_assert!(is_named(name, Form::Level), "{name}");
         self.levels.with_label_values(&[name]).set(value.cast_signed());
         // A metric that cannot be sent is lost; the next one follows in a second.
         let _ = self.client.gauge(name, value);
@@ -98,6 +106,11 @@
     }
 }
 
+/// Whether a metric is in the list of all.
+fn is_named(name: Name, form: Form) -> bool {
+    METRICS.iter().any(|metric| metric.name == name && metric.form == form)
+}
+
 async fn serve(State((registry, log)): State<(Registry, Events)>) -> Response {
     let mut text = Vec::new();
     let encoder = TextEncoder::new();
--- a/crates/hyssopdyked/tests/metrics.rs
+++ b/crates/hyssopdyked/tests/metrics.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use std::path::Path;
+use std::process::Command;
 use std::time::Duration;
 
 use support::{Bench, wait};
@@ -42,3 +44,13 @@
     let syncs = "hyssopdyke_seconds_count{role=\"control\",time=\"sync\"}";
     assert!(value(&metrics(&bench, "control-1"), syncs) > 0.0);
 }
+
+#[test]
+fn metrics_documented() {
+    // The page has the table of the program, word for word.
+    let output = Command::new(env!("CARGO_BIN_EXE_hyssopdyked")).arg("metrics").output().unwrap();
+    let table = String::from_utf8(output.stdout).unwrap();
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/METRICS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    assert!(page.contains(&table), "docs/METRICS.md lacks the output of 'hyssopdyked metrics'");
+}
