--- a/crates/hyssopctl/src/client.rs
+++ b/crates/hyssopctl/src/client.rs
@@ -70,6 +70,10 @@
     pub name: Box<str>,
     /// Socket address.
     pub address: Box<str>,
+    /// Identity of its data folder, which another disk does not have; empty for a VM that is to
+    /// be given a vote.
+    #[serde(default)]
+    pub identity: Box<str>,
 }
 
 /// The control VMs that vote, and who leads them.
--- a/crates/hyssopctl/src/output.rs
+++ b/crates/hyssopctl/src/output.rs
@@ -66,9 +66,10 @@
     for voter in &members.voters {
         let is_leader = members.leader.as_deref() == Some(&*voter.name);
         println!(
-            "{:<20} {:<22} {}",
+            "{:<20} {:<22} {:<16} {}",
             voter.name,
             voter.address,
+            voter.identity,
             if is_leader { "leads" } else { "" }
         );
     }
--- a/crates/hyssopctl/src/output_tests.rs
+++ b/crates/hyssopctl/src/output_tests.rs
@@ -10,7 +10,11 @@
 }
 
 fn members(count: usize) -> Members {
-    let voter = |n| Voter { name: format!("c{n}").into(), address: "127.0.0.1:1".into() };
+    let voter = |n| Voter {
+        name: format!("c{n}").into(),
+        address: "127.0.0.1:1".into(),
+        identity: "00".into(),
+    };
     Members { leader: Some("c0".into()), term: 1, voters: (0..count).map(voter).collect() }
 }
 
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -47,10 +47,9 @@
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
         let Some(drawn) = route.draw(rand::random()).map(Box::<str>::from) else { return };
-        let offer = connection::Offer::new(packet, drawn.clone(), TRIES, clock::now());
+        let offer = connection::Offer::new(packet, drawn, TRIES, clock::now());
         self.directory.offer(flow, connection::Offer { entry, ..offer });
         self.metrics.count("placed");
-        routine!(self.events, "flow placed"; "flow" => %flow, "service" => &*drawn);
         self.ask_next(flow);
     }
 
--- a/crates/hyssopdyked/src/control/api.rs
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -51,6 +51,9 @@
 struct Member {
     name: Box<str>,
     address: Box<str>,
+    /// Identity of the data folder, as it is shown; the leader learns it from the VM itself.
+    #[serde(default)]
+    identity: Box<str>,
 }
 
 /// The control VMs that vote, and who leads them.
@@ -208,6 +211,7 @@
     let voters = voters.map(|voter| Member {
         name: voter.name.as_str().into(),
         address: voter.address.as_str().into(),
+        identity: format!("{:016x}", voter.identity).into(),
     });
     let voters = voters.collect();
     Ok(Json(Members { leader: leadership.leader, term: leadership.term, voters }))
--- a/crates/hyssopdyked/src/control/replica.rs
+++ b/crates/hyssopdyked/src/control/replica.rs
@@ -3,19 +3,23 @@
 //! Each VM opens a connection to each other one and sends on it; what it receives comes on the
 //! connections that the others have opened. A message that cannot be sent is dropped, since the
 //! log repeats whatever was not answered.
+//!
+//! Each message is acknowledged on its connection by an empty one. A connection may fall silent
+//! for good while new ones work, and whatever lost track of it may still take bytes: one on which
+//! nothing is acknowledged is opened anew.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
 use hyssopdyke_wire::ledger::Message;
 use hyssopdyke_wire::{Codec, Key};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, FramedRead};
+use tokio_util::codec::Framed;
 
 use super::handle::{Handle, Request};
 use crate::stream;
@@ -32,6 +36,10 @@
 /// Time for writing a message.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Time for the acknowledgement of a message: less than the time after which a follower tries to
+/// lead, so that a silent connection costs no leader.
+const ACKNOWLEDGING: Duration = Duration::from_millis(400);
+
 /// Pause before a lost connection is opened again.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -89,12 +97,7 @@
         };
         if let Ok(stream) = connected {
             let codec = Codec::with_frame_bytes(key.clone(), MESSAGE_BYTES);
-            let mut stream = Framed::new(stream, codec);
-            while let Some(message) = messages.recv().await {
-                if !matches!(timeout(PATIENCE, stream.send(message)).await, Ok(Ok(()))) {
-                    break;
-                }
-            }
+            send_all(&mut messages, Framed::new(stream, codec)).await;
         }
         tokio::select! {
             () = sleep(RETRY) => {}
@@ -105,18 +108,50 @@
     }
 }
 
+/// Sends messages over a connection until it fails or falls silent.
+async fn send_all(
+    messages: &mut mpsc::Receiver<Message>,
+    mut stream: Framed<TcpStream, Codec<Message>>,
+) {
+    let mut unanswered: Option<Instant> = None;
+    loop {
+        let patience =
+            unanswered.map_or(ACKNOWLEDGING, |since| ACKNOWLEDGING.saturating_sub(since.elapsed()));
+        tokio::select! {
+            message = messages.recv() => {
+                let Some(message) = message else { return };
+                if !matches!(timeout(PATIENCE, stream.send(message)).await, Ok(Ok(()))) {
+                    return;
+                }
+                unanswered = unanswered.or_else(|| Some(Instant::now()));
+            }
+            acknowledged = stream.next() => {
+                if !matches!(acknowledged, Some(Ok(_))) {
+                    return;
+                }
+                unanswered = None;
+            }
+            () = sleep(patience), if unanswered.is_some() => return,
+        }
+    }
+}
+
 /// Takes messages from other control VMs.
 pub(super) async fn serve(listener: TcpListener, key: Key, handle: Handle) -> std::io::Result<()> {
     loop {
         let (stream, _) = listener.accept().await?;
         let codec = Codec::<Message>::with_frame_bytes(key.clone(), MESSAGE_BYTES);
-        let mut stream = FramedRead::new(stream, codec);
+        let mut stream = Framed::new(stream, codec);
         let inbox = handle.inbox.clone();
         tokio::spawn(async move {
             while let Some(Ok(message)) = stream.next().await {
                 if inbox.send(Request::Message(message)).await.is_err() {
                     return;
                 }
+                let acknowledging = timeout(PATIENCE, stream.send(Message::default()));
+                if !matches!(acknowledging.await, Ok(Ok(()))) {
+                    return;
+                }
             }
         });
     }
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -20,7 +20,7 @@
 const QUEUE: usize = 8192;
 
 /// Events a second of one kind that each flow brings about.
-const ROUTINE: u32 = 16;
+const ROUTINE: u32 = 8;
 
 /// Events a second of one kind that shows trouble, such as refusals: what operators look for.
 const UNUSUAL: u32 = 64;
--- /dev/null
+++ b/crates/soak/src/operator.rs
@@ -0,0 +1,90 @@
+//! An operator who writes all the time, and remembers what was acknowledged.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use hyssopctl::{Client, Precondition};
+use hyssopdyke_wire::resource::{Kind, Resource, resource::Body};
+
+/// Pause between two writes.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Connections that the written service declares at first; each write declares one more.
+const FIRST: u32 = 2000;
+
+/// What the operator knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Written {
+    /// Number of the last write that was acknowledged.
+    pub(crate) acknowledged: u32,
+    /// Number of the last write that was sent.
+    pub(crate) sent: u32,
+    /// Writes that were acknowledged.
+    pub(crate) count: u32,
+}
+
+/// A running operator.
+pub(crate) struct Operator {
+    written: Arc<Mutex<Written>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Operator {
+    /// Starts to write a service, which is declared already.
+    pub(crate) fn spawn(client: Client, service: Resource) -> Self {
+        let written = Arc::new(Mutex::new(Written::default()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let (notes, stopped) = (Arc::clone(&written), Arc::clone(&stop));
+        let thread = std::thread::spawn(move || write_all(&client, service, &notes, &stopped));
+        Self { written, stop, thread: Some(thread) }
+    }
+
+    /// What was written so far.
+    pub(crate) fn written(&self) -> Written {
+        *self.written.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The number of the write that a service shows.
+    pub(crate) fn number_of(service: &Resource) -> u32 {
+        match &service.body {
+            Some(Body::Service(service)) => service.connections.saturating_sub(FIRST),
+            _ => 0,
+        }
+    }
+}
+
+impl Drop for Operator {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // An operator that has panicked has written nothing since.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn write_all(client: &Client, mut resource: Resource, written: &Mutex<Written>, stop: &AtomicBool) {
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        if let Some(Body::Service(service)) = &mut resource.body {
+            service.connections = FIRST + number;
+        }
+        let note = |change: &dyn Fn(&mut Written)| {
+            change(&mut written.lock().unwrap_or_else(PoisonError::into_inner));
+        };
+        note(&|written| written.sent = number);
+        let key = Client::idempotency_key();
+        // Without an acknowledgement the write may or may not be in force.
+        if client.put(Kind::Service, &resource, Precondition::None, &key).is_ok() {
+            note(&|written| {
+                written.acknowledged = number;
+                written.count += 1;
+            });
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/soak.rs
@@ -0,0 +1,526 @@
+//! The run: episodes of faults, and what is checked while and after they come.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hyssopctl::{Client, Error as ClientError, Precondition};
+use hyssopdyke_wire::resource::{
+    Class, Kind as ResourceKind, Listener, Protocol, Resource, Service, State, Upstream,
+    resource::Body,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use standin::{
+    Callers, Cluster, Error as ClusterError, Faults, Harm, Kind as Flow, Layout, Outcome, Relay,
+    ServiceLayout, Spec,
+};
+
+use crate::operator::Operator;
+use crate::{Breach, Fault, Kind, Report};
+
+/// Streams that are open while faults come.
+const STREAMS: u64 = 24;
+
+/// Length of a stream: the longest episode.
+const STREAM: Duration = Duration::from_secs(8);
+
+/// Time between two lines of a stream.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause between two requests.
+const REQUEST_PAUSE: Duration = Duration::from_millis(25);
+
+/// Bytes of a request's answer.
+const REQUEST_BYTES: u64 = 10_000;
+
+/// Time for all that must happen after faults are healed: elections, leases, a disk's return.
+const HEALING: Duration = Duration::from_secs(40);
+
+/// Time within which a failure domain that is out falls silent.
+const SILENT: Duration = Duration::from_secs(3);
+
+/// Pause of the soak's clock.
+const STEP: Duration = Duration::from_millis(2);
+
+/// Bytes of a record of which a torn write has left no more: its head and a part of its body.
+const TORN_BYTES: usize = 14;
+
+/// Lateness of a connection that is delayed.
+const LATE: Duration = Duration::from_millis(40);
+
+/// What the fabric does while it loses packets.
+const LOSSY: Faults = Faults { loss: 0.03, duplicates: 0.2 };
+
+/// Service that the operator writes all the time.
+const WRITTEN: &str = "written";
+
+/// Size and length of a soak.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Seed of the faults.
+    pub seed: u64,
+    /// Time after which no new episode begins.
+    pub time: Duration,
+    /// Upstreams, each with an agent.
+    pub upstreams: u8,
+    /// Entries.
+    pub entries: u8,
+}
+
+/// Why a soak cannot be run.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum Error {
+    /// The system or one of its processes.
+    #[error("{0}")]
+    Cluster(#[from] ClusterError),
+    /// The operators' API.
+    #[error("{0}")]
+    Client(#[from] ClientError),
+    /// A process or file.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+impl Plan {
+    pub(crate) fn domains() -> [Box<str>; 3] {
+        ["domain-a", "domain-b", "domain-c"].map(Into::into)
+    }
+
+    pub(crate) fn control_names() -> Vec<Box<str>> {
+        (1..=3).map(|index| format!("control-{index}").into()).collect()
+    }
+
+    pub(crate) fn upstream_names(&self) -> Vec<Box<str>> {
+        (1..=self.upstreams).map(|index| format!("feed-{index}").into()).collect()
+    }
+
+    pub(crate) fn entry_names(&self) -> Vec<Box<str>> {
+        (1..=self.entries).map(|index| format!("entry-{index}").into()).collect()
+    }
+
+    fn layout(&self) -> Layout {
+        Layout {
+            control: 3,
+            relays: true,
+            entries: self.entries,
+            domains: Self::domains().into(),
+            services: vec![ServiceLayout::new("feed", self.upstreams.into())],
+            seed: self.seed,
+            ..Layout::default()
+        }
+    }
+}
+
+/// A system under faults.
+pub struct Soak {
+    plan: Plan,
+    rng: SmallRng,
+    cluster: Cluster,
+    callers: Callers,
+    operator: Operator,
+    next: u64,
+    /// Streams by the episode that has opened them.
+    streams: BTreeMap<u64, u32>,
+    report: Report,
+}
+
+impl Soak {
+    /// Starts the system, with its files in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if it does not serve.
+    pub fn start(binary: &Path, folder: &Path, plan: Plan) -> Result<Self, Error> {
+        let cluster = Cluster::start(binary, folder, plan.layout())?;
+        let callers = cluster.callers(1)?;
+        let written = written_service();
+        let client = cluster.client().clone().patience(Duration::from_secs(3));
+        client.put(
+            ResourceKind::Service,
+            &written,
+            Precondition::Absent,
+            &Client::idempotency_key(),
+        )?;
+        let processes = 3 + usize::from(plan.entries) + usize::from(plan.upstreams);
+        Ok(Self {
+            rng: SmallRng::seed_from_u64(plan.seed),
+            report: Report { seed: plan.seed, processes, ..Report::default() },
+            plan,
+            cluster,
+            callers,
+            operator: Operator::spawn(client, written),
+            next: 1,
+            streams: BTreeMap::new(),
+        })
+    }
+
+    /// Plays episodes until the time is over, or a promise is broken.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] if the system cannot be handled.
+    pub fn run(mut self) -> Result<Report, Error> {
+        let start = Instant::now();
+        while start.elapsed() < self.plan.time && self.report.breaches.is_empty() {
+            self.report.episodes += 1;
+            let faults = Fault::draw(&self.plan, &mut self.rng);
+            for fault in &faults {
+                *self.report.faults.entry(fault.kind).or_default() += 1;
+            }
+            let found = self.play(&faults)?;
+            let episode = self.report.episodes;
+            let breach = |what| Breach { episode, what, faults: faults.clone() };
+            self.report.breaches.extend(found.into_iter().map(breach));
+        }
+        self.report.time = start.elapsed();
+        self.report.writes = self.operator.written().count;
+        self.report.flows = self.callers.tally();
+        Ok(self.report)
+    }
+
+    /// Plays one episode; returns what was broken.
+    fn play(&mut self, faults: &[Fault]) -> Result<Vec<Box<str>>, Error> {
+        let mut broken = Vec::new();
+        self.open_streams();
+        if !self.await_streams() {
+            broken.push("streams were not established in a system without faults".into());
+            return Ok(broken);
+        }
+        let before = self.identities();
+        let mut steps: Vec<(Duration, usize, bool)> = faults
+            .iter()
+            .enumerate()
+            .flat_map(|(index, fault)| {
+                [(fault.at, index, true), (fault.at + fault.length, index, false)]
+            })
+            .collect();
+        steps.sort_unstable();
+        let start = Instant::now();
+        let mut outs: BTreeMap<usize, (Instant, Option<u64>)> = BTreeMap::new();
+        for (at, index, begins) in steps {
+            self.ask_until(start + at, &mut outs, faults);
+            let fault = &faults[index];
+            if begins {
+                if self.harm(fault)? {
+                    outs.insert(index, (Instant::now(), None));
+                }
+                continue;
+            }
+            if let Some((_, Some(count))) = outs.remove(&index)
+                && self.packets_in(&fault.on) != count
+            {
+                broken.push(format!("{} is out and gets packets", fault.on).into());
+            }
+            self.heal(fault)?;
+        }
+        broken.extend(self.await_healing(faults, &before));
+        broken.extend(self.check_streams(faults));
+        broken.extend(self.check_flows());
+        Ok(broken)
+    }
+
+    fn open_streams(&mut self) {
+        for _ in 0..STREAMS {
+            let kind = Flow::Stream { interval: INTERVAL, length: STREAM, keep_alive: None };
+            let service = self.cluster.stream_address(0);
+            let id = self.start_flow(service, kind, STREAM + HEALING);
+            self.streams.insert(id, self.report.episodes);
+        }
+    }
+
+    fn start_flow(
+        &mut self,
+        service: (std::net::Ipv4Addr, u16),
+        kind: Flow,
+        deadline: Duration,
+    ) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        self.callers.start(Spec { id, service, kind, deadline });
+        id
+    }
+
+    fn ask(&mut self) -> u64 {
+        let kind = Flow::Request { bytes: REQUEST_BYTES };
+        self.start_flow(self.cluster.request_address(0), kind, HEALING)
+    }
+
+    fn own_streams(&self) -> Vec<u64> {
+        let own = self.streams.iter().filter(|(_, episode)| **episode == self.report.episodes);
+        own.map(|(id, _)| *id).collect()
+    }
+
+    fn await_streams(&self) -> bool {
+        let own = self.own_streams();
+        within(HEALING, || {
+            let established = self.callers.established();
+            own.iter().all(|id| established.contains_key(id))
+        })
+    }
+
+    /// Asks for answers until an instant, and counts packets of domains that must be silent.
+    fn ask_until(
+        &mut self,
+        until: Instant,
+        outs: &mut BTreeMap<usize, (Instant, Option<u64>)>,
+        faults: &[Fault],
+    ) {
+        let mut asked = Instant::now();
+        while Instant::now() < until {
+            if asked.elapsed() >= REQUEST_PAUSE {
+                asked = Instant::now();
+                self.ask();
+            }
+            for (index, (since, count)) in &mut *outs {
+                if count.is_none() && since.elapsed() >= SILENT {
+                    *count = Some(packets_in(&self.cluster, &faults[*index].on));
+                }
+            }
+            std::thread::sleep(STEP);
+        }
+    }
+
+    fn packets_in(&self, domain: &str) -> u64 {
+        packets_in(&self.cluster, domain)
+    }
+
+    /// Begins a fault; true if a failure domain is out since now.
+    fn harm(&mut self, fault: &Fault) -> Result<bool, Error> {
+        let on = &*fault.on;
+        let cut = |cut_inward, cut_outward| Harm { cut_inward, cut_outward, ..Harm::default() };
+        match fault.kind {
+            Kind::Kill | Kind::Tear | Kind::Wipe => self.cluster.process(on)?.kill()?,
+            Kind::Terminate => self.cluster.process(on)?.terminate()?,
+            Kind::Freeze => self.cluster.process(on)?.freeze()?,
+            Kind::Cut => self.each_relay(on, |relay| relay.set_harm(cut(true, true)))?,
+            Kind::CutInward => self.each_relay(on, |relay| relay.set_harm(cut(true, false)))?,
+            Kind::CutOutward => self.each_relay(on, |relay| relay.set_harm(cut(false, true)))?,
+            Kind::Delay => {
+                let harm = Harm { delay: LATE, ..Harm::default() };
+                self.each_relay(on, |relay| relay.set_harm(harm))?;
+            }
+            Kind::Reset => self.each_relay(on, Relay::reset)?,
+            Kind::Strand => self.each_relay(on, Relay::strand)?,
+            Kind::Loss => self.cluster.fabric().set_faults(LOSSY),
+            // Where control does not answer the domain stays in.
+            Kind::DomainOut => return Ok(self.set_domain(on, true)),
+            Kind::Drain => drop(self.set_draining(on, State::Draining)),
+            Kind::Cool => self.cluster.upstream(on)?.cool(),
+        }
+        Ok(false)
+    }
+
+    fn heal(&mut self, fault: &Fault) -> Result<(), Error> {
+        let on = &*fault.on;
+        match fault.kind {
+            Kind::Kill => self.cluster.respawn(on)?,
+            Kind::Terminate => {
+                // A stop that takes longer is cut short, as the platform does.
+                self.cluster.process(on)?.wait(STREAM)?;
+                self.cluster.respawn(on)?;
+            }
+            Kind::Tear => {
+                let path = self.cluster.data(on).join("log");
+                let log = std::fs::read(&path)?;
+                let torn = log.get(..TORN_BYTES).unwrap_or_default();
+                std::fs::File::options().append(true).open(path)?.write_all(torn)?;
+                self.cluster.respawn(on)?;
+            }
+            Kind::Wipe => {
+                self.cluster.wipe_control(on)?;
+                self.cluster.respawn(on)?;
+            }
+            Kind::Freeze => self.cluster.process(on)?.thaw()?,
+            Kind::Cut | Kind::CutInward | Kind::CutOutward | Kind::Delay => {
+                self.each_relay(on, |relay| relay.set_harm(Harm::default()))?;
+            }
+            Kind::Loss => self.cluster.fabric().set_faults(Faults::default()),
+            Kind::Reset | Kind::Strand | Kind::Cool | Kind::DomainOut | Kind::Drain => {}
+        }
+        Ok(())
+    }
+
+    fn each_relay(&self, control: &str, harm: impl Fn(&Relay)) -> Result<(), Error> {
+        let names = Plan::control_names();
+        let index = names.iter().position(|name| **name == *control).unwrap_or_default();
+        self.cluster.relays(index as u8)?.iter().for_each(harm);
+        Ok(())
+    }
+
+    fn set_domain(&self, domain: &str, out: bool) -> bool {
+        let set = self.cluster.set_domain(domain, out);
+        set.is_ok_and(|revision| self.client().wait(revision, SILENT).is_ok())
+    }
+
+    fn set_draining(&self, name: &str, state: State) -> Result<(), ClientError> {
+        let client = self.client();
+        let mut resource = client.get(ResourceKind::Upstream, name)?;
+        if let Some(Body::Upstream(upstream)) = &mut resource.body {
+            *upstream = Upstream { state: state as i32, ..upstream.clone() };
+        }
+        let key = Client::idempotency_key();
+        client.put(ResourceKind::Upstream, &resource, Precondition::None, &key).map(drop)
+    }
+
+    fn client(&self) -> Client {
+        self.cluster.client().clone().patience(SILENT)
+    }
+
+    /// Identities of the voters' data folders, by name.
+    fn identities(&self) -> BTreeMap<Box<str>, Box<str>> {
+        let members = self.client().members();
+        let voters = members.map(|members| members.voters).unwrap_or_default();
+        voters.into_iter().map(|voter| (voter.name, voter.identity)).collect()
+    }
+
+    /// Waits until the system is whole again; returns what did not come back.
+    fn await_healing(
+        &mut self,
+        faults: &[Fault],
+        before: &BTreeMap<Box<str>, Box<str>>,
+    ) -> Vec<Box<str>> {
+        let mut broken: Vec<Box<str>> = Vec::new();
+        for fault in faults {
+            let is_undone = within(HEALING, || match fault.kind {
+                Kind::DomainOut => self.set_domain(&fault.on, false),
+                Kind::Drain => self.set_draining(&fault.on, State::Active).is_ok(),
+                // Before it has its vote back, another disk must not be lost.
+                Kind::Wipe => {
+                    let now = self.identities();
+                    now.get(&fault.on).is_some_and(|id| before.get(&fault.on) != Some(id))
+                }
+                _ => true,
+            });
+            if !is_undone {
+                broken.push(format!("{:?} on {} could not be undone", fault.kind, fault.on).into());
+            }
+        }
+        if let Err(error) = self.cluster.wait_in_force(HEALING) {
+            broken.push(format!("not in force: {error}").into());
+        }
+        if !self.is_serving() {
+            broken.push("no whole answer after all faults were healed".into());
+        }
+        let written = self.operator.written();
+        let held = self.client().get(ResourceKind::Service, WRITTEN);
+        match held.as_ref().map(Operator::number_of) {
+            Ok(number) if number < written.acknowledged => {
+                broken.push(format!("write {number} is held, {written:?}").into());
+            }
+            Ok(_) => {}
+            Err(error) => broken.push(format!("the state cannot be read: {error}").into()),
+        }
+        broken
+    }
+
+    /// Whether a request is answered whole.
+    fn is_serving(&mut self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < HEALING {
+            let id = self.ask();
+            let has_ended = || self.callers.outcomes().contains_key(&id);
+            within(SILENT, has_ended);
+            if matches!(self.callers.outcomes().get(&id), Some(Outcome::Whole { .. })) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Waits for this episode's streams, and returns those that ended early without a reason.
+    fn check_streams(&mut self, faults: &[Fault]) -> Vec<Box<str>> {
+        let own = self.own_streams();
+        within(HEALING * 2, || {
+            let outcomes = self.callers.outcomes();
+            own.iter().all(|id| outcomes.contains_key(id))
+        });
+        let outcomes = self.callers.outcomes();
+        let is_whole = |id: &&u64| matches!(outcomes.get(id), Some(Outcome::Whole { .. }));
+        let early: Vec<u64> = own.iter().filter(|id| !is_whole(id)).copied().collect();
+        if early.is_empty() {
+            return Vec::new();
+        }
+        if may_break_streams(faults) {
+            self.report.allowed += early.len();
+            return Vec::new();
+        }
+        let ended: Vec<_> = early.iter().map(|id| (*id, outcomes.get(id))).collect();
+        vec![format!("{} of {STREAMS} streams ended early: {ended:?}", early.len()).into()]
+    }
+
+    /// What must hold for all flows of the run so far.
+    fn check_flows(&self) -> Vec<Box<str>> {
+        let mut broken: Vec<Box<str>> = Vec::new();
+        let mut runs: BTreeMap<u64, u32> = BTreeMap::new();
+        for (name, truth) in self.cluster.truths() {
+            if truth.foreign > 0 {
+                broken.push(format!("{} foreign packets at {name}", truth.foreign).into());
+            }
+            for (id, count) in truth.runs {
+                *runs.entry(id).or_default() += count;
+            }
+        }
+        let twice: BTreeSet<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+        if !twice.is_empty() {
+            broken.push(format!("requests that ran more than once: {twice:?}").into());
+        }
+        for (id, outcome) in self.callers.outcomes() {
+            if outcome == Outcome::Wrong {
+                broken.push(format!("flow {id} got a wrong answer").into());
+            }
+            if outcome == Outcome::Refused && runs.contains_key(&id) {
+                broken.push(format!("request {id} was refused and ran").into());
+            }
+        }
+        broken
+    }
+}
+
+/// The service that the operator writes; nobody serves or calls it.
+fn written_service() -> Resource {
+    let listener = Listener {
+        address: "10.100.9.9".into(),
+        port: 80,
+        protocol: Protocol::Tcp as i32,
+        class: Class::Request as i32,
+    };
+    let service = Service {
+        listeners: vec![listener],
+        connections: 2000,
+        slots: 5,
+        cold_slots: 5,
+        ..Service::default()
+    };
+    let body = Some(Body::Service(service));
+    Resource { name: WRITTEN.into(), body, ..Resource::default() }
+}
+
+/// Whether the faults of an episode may cost streams: a failure domain is out, or a flow's owner
+/// and whoever keeps its record are gone at the same time.
+fn may_break_streams(faults: &[Fault]) -> bool {
+    let agents =
+        faults.iter().filter(|fault| fault.stops_process() && fault.on.starts_with("feed"));
+    faults.iter().any(|fault| fault.kind == Kind::DomainOut) || agents.count() > 1
+}
+
+/// Packets that the upstreams of a failure domain have taken.
+fn packets_in(cluster: &Cluster, domain: &str) -> u64 {
+    let truths = cluster.truths();
+    let is_inside = |name: &str| cluster.domain(name).is_ok_and(|found| found == domain);
+    truths.iter().filter(|(name, _)| is_inside(name)).map(|(_, truth)| truth.packets).sum()
+}
+
+/// Waits until something holds; false if that takes longer than `patience`.
+fn within(patience: Duration, holds: impl Fn() -> bool) -> bool {
+    let start = Instant::now();
+    while !holds() {
+        if start.elapsed() > patience {
+            return false;
+        }
+        std::thread::sleep(STEP * 10);
+    }
+    true
+}
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,40 @@
+//! Short soaks with fixed seeds.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use soak::{Plan, Soak};
+
+/// Seeds that have broken a promise, each with a line on the cause; and one that has not.
+const SEEDS: &str = include_str!("seeds.txt");
+
+/// Time of each seed.
+const TIME: Duration = Duration::from_secs(10);
+
+/// The daemon, built as this test is.
+fn daemon() -> PathBuf {
+    let status = Command::new(env!("CARGO"))
+        .args(["build", "--quiet", "--locked", "--package", "hyssopdyked"])
+        .status()
+        .unwrap();
+    assert!(status.success());
+    let test = std::env::current_exe().unwrap();
+    test.ancestors().nth(2).unwrap().join("hyssopdyked")
+}
+
+#[test]
+fn soak_seeds() {
+    let daemon = daemon();
+    let seeds = SEEDS.lines().filter(|line| !line.starts_with('#'));
+    for seed in seeds.map(|line| line.split_whitespace().next().unwrap().parse().unwrap()) {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let _ = std::fs::remove_dir_all(&folder);
+        let plan = Plan { seed, time: TIME, upstreams: 5, entries: 2 };
+        let report = Soak::start(&daemon, &folder, plan).unwrap().run().unwrap();
+        assert!(report.breaches.is_empty(), "{report}  logs: {}", folder.display());
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -12,7 +12,7 @@
     Class, Domain, Kind, Listener, Protocol, Resource, Service, resource::Body,
 };
 
-use crate::{Behavior, Callers, Fabric, Process, Subnet, Truth, Upstream};
+use crate::{Behavior, Callers, Fabric, Process, Relay, Subnet, Truth, Upstream};
 
 /// Port of each entry for the fabric.
 const FABRIC_PORT: u16 = 5555;
@@ -28,6 +28,7 @@
 
 /// Hosts of the subnet from which each role's VMs are counted.
 const CONTROL_HOST: u8 = 1;
+const RELAY_HOST: u8 = 11;
 const ENTRY_HOST: u8 = 21;
 const AGENT_HOST: u8 = 101;
 const FABRIC_HOST: u8 = 250;
@@ -81,6 +82,8 @@
     pub control: u8,
     /// Control VMs find each other by seeds, and replace each other by themselves.
     pub seeds: bool,
+    /// All connections to control VMs pass relays.
+    pub relays: bool,
     /// Entries.
     pub entries: u8,
     /// Failure domains, over which each role is spread in turn.
@@ -100,6 +103,7 @@
         Self {
             control: 1,
             seeds: false,
+            relays: false,
             entries: 2,
             domains: ["fj-west-a", "fj-west-b", "fj-west-c"].map(Into::into).into(),
             services: Vec::new(),
@@ -152,6 +156,8 @@
     vms: BTreeMap<Box<str>, Vm>,
     upstreams: BTreeMap<Box<str>, Upstream>,
     client: Client,
+    /// Relays before the ports of each control VM.
+    relays: Vec<[Relay; 3]>,
 }
 
 impl Cluster {
@@ -164,8 +170,11 @@
         let subnet = Subnet::take()?;
         std::fs::create_dir_all(folder)?;
         let fabric = Fabric::spawn(subnet.vm(FABRIC_HOST), layout.seed)?;
-        let api = |index| SocketAddr::from((subnet.vm(CONTROL_HOST + index), CONTROL_PORTS.1));
+        let host = reached_host(&layout);
+        let api = |index| SocketAddr::from((subnet.vm(host + index), CONTROL_PORTS.1));
         let client = Client::new((0..layout.control).map(api));
+        let relayed = if layout.relays { layout.control } else { 0 };
+        let relays = (0..relayed).map(|index| relays(&subnet, index)).collect::<io::Result<_>>()?;
         let mut cluster = Self {
             subnet,
             binary: binary.into(),
@@ -175,6 +184,7 @@
             vms: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             client,
+            relays,
         };
         cluster.add_control()?;
         cluster.declare()?;
@@ -199,6 +209,16 @@
         &self.fabric
     }
 
+    /// The relays before the ports of a control VM: sessions, the operators' API, and the log.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] if there are none.
+    pub fn relays(&self, index: u8) -> Result<&[Relay; 3], Error> {
+        let name = || format!("a relay of control VM {}", index + 1);
+        self.relays.get(usize::from(index)).ok_or_else(|| Error::Unknown(name().into()))
+    }
+
     /// Folder of settings, logs and data.
     #[must_use]
     pub fn folder(&self) -> &Path {
@@ -408,7 +428,7 @@
     fn add_control(&mut self) -> Result<(), Error> {
         let voters: Vec<String> = (0..self.layout.control)
             .map(|index| {
-                let address = self.subnet.vm(CONTROL_HOST + index);
+                let address = self.subnet.vm(reached_host(&self.layout) + index);
                 format!("control-{}@{address}:{}", index + 1, CONTROL_PORTS.2)
             })
             .collect();
@@ -425,7 +445,9 @@
         Ok(())
     }
 
-    fn data(&self, name: &str) -> PathBuf {
+    /// Folder of a control VM's data.
+    #[must_use]
+    pub fn data(&self, name: &str) -> PathBuf {
         self.folder.join(format!("{name}.data"))
     }
 
@@ -491,7 +513,10 @@
     ) -> Result<(), Error> {
         let domain = self.layout.domains[place % self.layout.domains.len()].clone();
         let control: Vec<String> = (0..self.layout.control)
-            .map(|index| format!("{}:{}", self.subnet.vm(CONTROL_HOST + index), CONTROL_PORTS.0))
+            .map(|index| {
+                let address = self.subnet.vm(reached_host(&self.layout) + index);
+                format!("{address}:{}", CONTROL_PORTS.0)
+            })
             .collect();
         let mut text = String::new();
         // Writing to a string cannot fail.
@@ -550,6 +575,21 @@
     }
 }
 
+/// First host of the addresses at which control VMs are reached.
+const fn reached_host(layout: &Layout) -> u8 {
+    if layout.relays { RELAY_HOST } else { CONTROL_HOST }
+}
+
+/// Relays before all ports of a control VM, in the order of [`CONTROL_PORTS`].
+fn relays(subnet: &Subnet, index: u8) -> io::Result<[Relay; 3]> {
+    let relay = |port| {
+        let address = |host| SocketAddr::from((subnet.vm(host + index), port));
+        Relay::bind(address(RELAY_HOST), address(CONTROL_HOST))
+    };
+    let (sessions, api, log) = CONTROL_PORTS;
+    Ok([relay(sessions)?, relay(api)?, relay(log)?])
+}
+
 /// Address of a service by its place in the layout.
 fn service_address(index: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 100, 0, 1 + index as u8)
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod quickstart;
 mod replay;
 mod slopes;
+mod soak;
 mod throughput;
 
 use clap::Command;
@@ -19,6 +20,7 @@
         .subcommand(placement::command())
         .subcommand(replay::command())
         .subcommand(slopes::command())
+        .subcommand(soak::command())
         .subcommand(throughput::command())
         .subcommand(throughput::relay_command())
 }
@@ -33,6 +35,7 @@
         }
         Some(("replay", matches)) => replay::run(matches),
         Some(("slopes", matches)) => slopes::run(matches),
+        Some(("soak", matches)) => soak::run(matches),
         Some(("throughput", matches)) => throughput::run(matches),
         Some(("relay", matches)) => throughput::relay(matches),
         _ => Ok(()),
