--- a/crates/hyssopdyke/src/process/lease.rs
+++ b/crates/hyssopdyke/src/process/lease.rs
@@ -77,6 +77,12 @@
         self.lasts(self.granted, now)
     }
 
+    /// Whether control has granted a renewal that was sent within `time`.
+    #[must_use]
+    pub fn is_renewed_within(&self, time: Duration, now: Instant) -> bool {
+        self.granted.is_some_and(|sent| now.saturating_duration_since(sent) < time)
+    }
+
     /// Whether the process may act at `now`.
     #[must_use]
     pub fn is_valid(&self, now: Instant) -> bool {
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -1,6 +1,6 @@
 //! What a daemon derives from one revision to route packets.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,6 +72,8 @@
     /// Version of the declaration, and the silence after which it lets flows be forgotten.
     declared: Option<(u64, Option<Duration>)>,
     peers: HashMap<SocketAddr, Peer>,
+    /// Failure domains of the peers.
+    domains: BTreeSet<Box<str>>,
     boots: HashSet<u64>,
     out: HashSet<Box<str>>,
 }
@@ -96,6 +98,7 @@
         view.add_listeners(store);
         view.add_routes(store);
         view.add_declaration(store);
+        view.domains = view.peers.values().map(|peer| peer.domain.clone()).collect();
         view
     }
 
@@ -147,10 +150,10 @@
         self.peers.contains_key(&address)
     }
 
-    /// Whether there are processes outside a failure domain.
+    /// Failure domains besides one in which there are processes.
     #[must_use]
-    pub fn has_peer_outside(&self, domain: &str) -> bool {
-        self.peers.values().any(|peer| *peer.domain != *domain)
+    pub fn domains_besides(&self, domain: &str) -> usize {
+        self.domains.iter().filter(|other| ***other != *domain).count()
     }
 
     /// Addresses of processes outside a failure domain, agents first.
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -473,3 +473,16 @@
     assert!(!contact.is_lost(start + 11 * SECOND));
     assert!(!contact.ask(start + 10 * SECOND + 50 * MILLI), "questions in quick succession");
 }
+
+#[test]
+fn lease_renewedwithin() {
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    assert!(!lease.is_renewed_within(2 * SECOND, start));
+    lease.grant(start, 3 * SECOND, 5);
+    assert!(!lease.is_renewed_within(2 * SECOND, start), "a grant that does not count yet");
+    lease.catch_up(5);
+    assert!(lease.is_renewed_within(2 * SECOND, start + SECOND));
+    assert!(!lease.is_renewed_within(2 * SECOND, start + 2 * SECOND));
+    assert!(lease.is_valid(start + 2 * SECOND));
+}
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -123,7 +123,7 @@
     /// entries of the others reach most. It forwards what it is sent all the same.
     fn publish_ready(&self) {
         let now = clock::now();
-        let (may_act, is_cut_off) = (self.membership.may_act(now), self.contact.is_lost(now));
+        let (may_act, is_cut_off) = (self.membership.may_act(now), self.is_cut_off(now));
         let is_ready = !self.is_leaving && may_act && !is_cut_off;
         if self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready) {
             info!(self.events.logger(), "readiness changed"; "is_ready" => is_ready,
@@ -131,10 +131,17 @@
         }
     }
 
+    /// Whether this entry rather than all others is cut off. Where there is only one other failure
+    /// domain, that one may be without power: then control still answers.
+    fn is_cut_off(&self, now: Instant) -> bool {
+        let may_be_others = self.membership.outside_domains() < 2;
+        self.contact.is_lost(now) && !(may_be_others && self.membership.is_renewed(now))
+    }
+
     /// Asks processes outside the failure domain while nothing is heard from there.
     fn look_after_contact(&mut self) {
         let now = clock::now();
-        if self.membership.has_outside() && self.contact.ask(now) {
+        if self.membership.outside_domains() > 0 && self.contact.ask(now) {
             self.membership.ask_peers(&mut self.link, now);
         }
         self.publish_ready();
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -17,6 +17,9 @@
 /// Length of a lease until control names another.
 const LEASE: Duration = Duration::from_secs(3);
 
+/// Time within which a process that control hears was granted a renewal: it sends one a second.
+const RENEWED: Duration = Duration::from_millis(1600);
+
 /// Least time between two pulls.
 const PULL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -143,9 +146,14 @@
         self.view.domain_of(peer).is_some_and(|domain| *domain != *self.domain)
     }
 
-    /// Whether there are peers in other failure domains.
-    pub(crate) fn has_outside(&self) -> bool {
-        self.view.has_peer_outside(&self.domain)
+    /// Failure domains besides this process's own.
+    pub(crate) fn outside_domains(&self) -> usize {
+        self.view.domains_besides(&self.domain)
+    }
+
+    /// Whether control has answered this process lately.
+    pub(crate) fn is_renewed(&self, now: Instant) -> bool {
+        self.lease.is_renewed_within(RENEWED, now)
     }
 
     /// Asks peers to vouch for this process while control does not renew its lease.
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -12,7 +12,7 @@
 const SEEDS: &str = include_str!("seeds.txt");
 
 /// Time of each seed.
-const TIME: Duration = Duration::from_secs(10);
+const TIME: Duration = Duration::from_secs(12);
 
 /// The daemon, built as this test is.
 fn daemon() -> PathBuf {
@@ -32,7 +32,7 @@
     for seed in seeds.map(|line| line.split_whitespace().next().unwrap().parse().unwrap()) {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
         let _ = std::fs::remove_dir_all(&folder);
-        let plan = Plan { seed, time: TIME, upstreams: 5, entries: 2 };
+        let plan = Plan { seed, time: TIME, upstreams: 6, entries: 3 };
         let report = Soak::start(&daemon, &folder, plan).unwrap().run().unwrap();
         assert!(report.breaches.is_empty(), "{report}  logs: {}", folder.display());
         std::fs::remove_dir_all(&folder).unwrap();
