--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -14,7 +14,7 @@
 use rand::rngs::SmallRng;
 use standin::{
     Callers, Cluster, Error as ClusterError, Faults, Harm, Kind as Flow, Layout, Outcome, Relay,
-    ServiceLayout, Spec,
+    ServiceLayout, Spec, within,
 };
 
 use crate::operator::Operator;
@@ -422,7 +422,9 @@
         while start.elapsed() < HEALING {
             let id = self.ask();
             let has_ended = || self.callers.outcomes().contains_key(&id);
-            within(SILENT, has_ended);
+            if !within(SILENT, has_ended) {
+                continue;
+            }
             if matches!(self.callers.outcomes().get(&id), Some(Outcome::Whole { .. })) {
                 return true;
             }
@@ -433,10 +435,13 @@
     /// Waits for this episode's streams, and returns those that ended early without a reason.
     fn check_streams(&mut self, faults: &[Fault]) -> Vec<Box<str>> {
         let own = self.own_streams();
-        within(HEALING * 2, || {
+        let have_ended = within(HEALING * 2, || {
             let outcomes = self.callers.outcomes();
             own.iter().all(|id| outcomes.contains_key(id))
         });
+        if !have_ended {
+            return vec!["streams without an outcome".into()];
+        }
         let outcomes = self.callers.outcomes();
         let is_whole = |id: &&u64| matches!(outcomes.get(id), Some(Outcome::Whole { .. }));
         let early: Vec<u64> = own.iter().filter(|id| !is_whole(id)).copied().collect();
@@ -512,15 +517,3 @@
     let is_inside = |name: &str| cluster.domain(name).is_ok_and(|found| found == domain);
     truths.iter().filter(|(name, _)| is_inside(name)).map(|(_, truth)| truth.packets).sum()
 }
-
-/// Waits until something holds; false if that takes longer than `patience`.
-fn within(patience: Duration, holds: impl Fn() -> bool) -> bool {
-    let start = Instant::now();
-    while !holds() {
-        if start.elapsed() > patience {
-            return false;
-        }
-        std::thread::sleep(STEP * 10);
-    }
-    true
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod subnet;
 mod upstream;
 mod usage;
+mod wait;
 
 pub use caller::{Callers, Kind, Outcome, Spec, Tally};
 pub use cluster::{Cluster, Error, Layout, ServiceLayout};
@@ -22,3 +23,4 @@
 pub use subnet::Subnet;
 pub use upstream::{Behavior, Truth, Upstream};
 pub use usage::Usage;
+pub use wait::within;
