fix(agent): a leaver's records are kept also where records are still to be dropped

The third, beside load, had yet to drop the records that are not its own to keep since that change; the leavers' records came in between and were dropped with them: 13 of 20 flows were left to be taken over. Ruled out: the leavers (both stopped with all reports acknowledged). Now a report that brings records of others' keeping calls the dropping off until the next change of members. prune_farewell fails without it.

--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -245,6 +245,10 @@
         if report.parts > 0 && report.epoch != pool.epoch {
             return self.metrics.count("dropped.epoch");
         }
+        if report.parts == 0 && self.is_farewell(&pool, report) {
+            // What a leaver hands over is kept until the members have changed.
+            self.must_prune = false;
+        }
         for record in &report.opened {
             self.note_record(&pool, record);
         }
@@ -263,6 +267,14 @@
         self.release_held();
     }
 
+    /// Whether a report brings records that other members keep.
+    fn is_farewell(&self, pool: &Pool, report: &Report) -> bool {
+        report.opened.iter().any(|record| {
+            let flow = Flow::try_from(record.flow.as_ref());
+            flow.is_ok_and(|flow| !pool.is_holder(self.hash(&flow), record.owner, self.me))
+        })
+    }
+
     fn note_record(&mut self, pool: &Pool, record: &Record) {
         let Ok(flow) = Flow::try_from(record.flow.as_ref()) else {
             return self.metrics.count("unexpected");
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -422,3 +422,17 @@
     assert!(rig.worker.table.is_empty());
     assert!(Rig::is_silent(&rig.caller).await);
 }
+
+#[tokio::test]
+async fn prune_farewell() {
+    // A member that leaves hands over a record that another one keeps, while this agent has yet to
+    // drop what it keeps no more since the last change of members.
+    let mut rig = Rig::open().await;
+    let flow = rig.flow(rig.port_at_home(Rig::id(1)));
+    rig.worker.outbox.retain(|_, _| false);
+    rig.worker.must_prune = true;
+    let record = Record { flow: Some(flow.into()), isn: FIRST, owner: Rig::id(0) };
+    rig.tell(0, Body::Report(Report { opened: vec![record], ..Report::default() })).await;
+    rig.worker.prune();
+    assert!(rig.worker.directory.get(&flow).is_some(), "a leaver's record was dropped");
+}
