refactor: one copy of what the change had twice; packets are read and hashed once

Behaviour is as before, but for two things that are named last.

- entry: a packet is parsed and its flow hashed once (Inbound); one that waited for the link was parsed again, and the hash was made up to three times
- agent: routes are shared, so that a delivered packet copies no list of services; home_of, Pool::all and heard_members stand once; what is due of opening and confirming flows is taken by one function; whether the agent can serve is one state (was_active repeated it); what only its own module calls is private
- soak: the written service is that of the control tests (standin::unserved); no dyn; patience named
- settings and weights: the times that stood as literals are named

The entry no longer looks at its readiness once a second besides ten times a second. An agent without a declared service is not ready; it stayed ready.

Tests keep their assertions; they call what moved by its new name.

--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What a daemon keeps from its start to its stop.
 
 mod barrier;
+mod bucket;
 mod budget;
 mod cold;
 mod contact;
--- a/crates/hyssopdyke/src/process/shaper.rs
+++ b/crates/hyssopdyke/src/process/shaper.rs
@@ -10,6 +10,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::bucket::Bucket;
 use crate::request::Segment;
 
 /// Bytes that a flow may send in its turn: one packet of full size.
@@ -53,9 +54,10 @@
 pub struct Shaper<P> {
     /// Bytes a second.
     rate: f64,
+    /// Bytes that may be sent at once.
+    burst: f64,
     /// Bytes that may be sent now; below zero, what the last packet has taken in advance.
-    tokens: f64,
-    filled: Instant,
+    bucket: Bucket,
     turns: HashMap<u64, Turn<P>>,
     /// Flows of which nothing waited before.
     fresh: VecDeque<u64>,
@@ -67,12 +69,13 @@
 impl<P> Shaper<P> {
     /// Sends at most `rate` bytes a second.
     #[must_use]
-    pub fn new(rate: f64, now: Instant) -> Self {
+    pub fn new(rate: f64) -> Self {
         let rate = rate * SHARE;
+        let burst = (rate * BURST.as_secs_f64()).max(LEAST_BURST);
         Self {
             rate,
-            tokens: burst(rate),
-            filled: now,
+            burst,
+            bucket: Bucket::new(burst),
             turns: HashMap::new(),
             fresh: VecDeque::new(),
             served: VecDeque::new(),
@@ -85,10 +88,9 @@
         if self.bytes > 0 {
             return false;
         }
-        self.fill(now);
-        let may_pass = self.tokens > 0.0;
+        let may_pass = self.fill(now) > 0.0;
         if may_pass {
-            self.tokens -= (bytes + OVERHEAD) as f64;
+            self.bucket.spend((bytes + OVERHEAD) as f64);
         }
         may_pass
     }
@@ -111,8 +113,7 @@
 
     /// The next packet, if the link takes one now.
     pub fn pop(&mut self, now: Instant) -> Option<P> {
-        self.fill(now);
-        if self.tokens <= 0.0 {
+        if self.fill(now) <= 0.0 {
             return None;
         }
         loop {
@@ -138,7 +139,7 @@
             turn.deficit = turn.deficit.saturating_sub_unsigned(cost as u64);
             turn.bytes -= next.bytes;
             self.bytes -= next.bytes;
-            self.tokens -= cost as f64;
+            self.bucket.spend(cost as f64);
             let list = if is_fresh { &mut self.fresh } else { &mut self.served };
             list.push_front(flow);
             return Some(next.packet);
@@ -150,9 +151,8 @@
         if self.bytes == 0 {
             return None;
         }
-        self.fill(now);
         // A packet is sent as soon as there is any token; a burst of them is waited for.
-        let missing = (burst(self.rate) / 2.0 - self.tokens).max(0.0);
+        let missing = (self.burst / 2.0 - self.fill(now)).max(0.0);
         Some(Duration::from_secs_f64(missing / self.rate))
     }
 
@@ -162,10 +162,8 @@
         self.bytes
     }
 
-    fn fill(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
-        self.filled = now;
-        self.tokens = (self.tokens + passed * self.rate).min(burst(self.rate));
+    fn fill(&mut self, now: Instant) -> f64 {
+        self.bucket.fill(self.rate, self.burst, now)
     }
 
     /// Takes the oldest packet of the flow of which most waits.
@@ -178,11 +176,6 @@
     }
 }
 
-/// Bytes that may be sent at once.
-fn burst(rate: f64) -> f64 {
-    (rate * BURST.as_secs_f64()).max(LEAST_BURST)
-}
-
 /// Whether two packets of a flow carry the same part of it.
 fn is_repeated<P>(a: &Waiting<P>, b: &Waiting<P>) -> bool {
     let part = |segment: &Segment| {
--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -62,6 +62,11 @@
         self.members.get(index)
     }
 
+    /// All members, and the upstreams whose failure domains are out.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().chain(&self.out)
+    }
+
     /// The member on a VM, or the upstream there whose failure domain is out.
     #[must_use]
     pub fn known(&self, vm: vm::Id) -> Option<&Member> {
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct View {
     revision: u64,
-    routes: HashMap<(SocketAddr, Protocol), Route>,
+    routes: HashMap<(SocketAddr, Protocol), Arc<Route>>,
     /// Pools by the names of their services.
     pools: HashMap<Box<str>, Arc<Pool>>,
     /// Version of the declaration, and the silence after which it lets flows be forgotten.
@@ -122,7 +122,7 @@
 
     /// The route of an address.
     #[must_use]
-    pub fn route(&self, address: SocketAddr, protocol: Protocol) -> Option<&Route> {
+    pub fn route(&self, address: SocketAddr, protocol: Protocol) -> Option<&Arc<Route>> {
         self.routes.get(&(address, protocol))
     }
 
@@ -273,7 +273,7 @@
             return;
         };
         let class = class(listener.class());
-        self.routes.insert(key, Route { class, objective, shares, pool });
+        self.routes.insert(key, Arc::new(Route { class, objective, shares, pool }));
     }
 
     fn add_declaration(&mut self, store: &Store) {
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -380,7 +380,7 @@
     // with a link of 3.3 Mbit/s. A queue of 40 ms would drop two thirds of them.
     let start = Instant::now();
     let rate = 3.3 * 125_000.0;
-    let mut shaper = Shaper::new(rate, start);
+    let mut shaper = Shaper::new(rate);
     for flow in 0..3 {
         for number in 0..16 {
             assert!(shaper.push(flow, waiting(flow, number, 1232)).is_none());
@@ -403,7 +403,7 @@
     // Load: bookings beside uploads. A short request waits for one turn of each upload at most,
     // which is two packets, and not for their windows.
     let start = Instant::now();
-    let mut shaper = Shaper::new(412_500.0, start);
+    let mut shaper = Shaper::new(412_500.0);
     for flow in 0..4 {
         for number in 0..16 {
             assert!(shaper.push(flow, waiting(flow, number, 1232)).is_none());
@@ -422,7 +422,7 @@
 #[test]
 fn shaper_repetition() {
     let start = Instant::now();
-    let mut shaper = Shaper::new(412_500.0, start);
+    let mut shaper = Shaper::new(412_500.0);
     while shaper.pass(1232, start) {}
     shaper.push(1, waiting(1, 5, 1232));
     shaper.push(1, waiting(1, 6, 1232));
@@ -436,8 +436,7 @@
 #[test]
 fn shaper_toomuch() {
     // What is dropped is the oldest of the flow of which most waits.
-    let start = Instant::now();
-    let mut shaper = Shaper::new(412_500.0, start);
+    let mut shaper = Shaper::new(412_500.0);
     shaper.push(2, waiting(2, 0, 100));
     let dropped: Vec<_> =
         (0..2000).filter_map(|number| shaper.push(1, waiting(1, number, 1200))).collect();
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -81,23 +81,14 @@
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("agent", &common, &events).await?;
     let (deliveries, received) = mpsc::channel(REPORTS);
-    let _reports = match role.reports {
-        Some(address) => {
-            Some(Server::bind("[agent] reports", address, reports::router(deliveries)).await?)
-        }
-        None => None,
-    };
+    let _reports =
+        Server::bind("[agent] reports", role.reports, reports::router(deliveries)).await?;
     let sockets = Sockets { link, answers, reports: received };
     let readiness = role.readiness;
     let mut worker =
         Worker::new(border, &common, role, boot, sockets, membership, metrics, events.clone());
-    let _readiness = match readiness {
-        Some(address) => {
-            let router = readiness::router(worker.ready());
-            Some(Server::bind("[agent] readiness", address, router).await?)
-        }
-        None => None,
-    };
+    let router = readiness::router(worker.ready());
+    let _readiness = Server::bind("[agent] readiness", readiness, router).await?;
     tokio::select! {
         result = worker.run(&mut session) => return result,
         () = stop.asked() => {}
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -329,8 +329,7 @@
     /// go on with another upstream.
     fn give_back(&mut self, flow: Flow, packet: &Packet, bytes: Bytes) {
         let forward = Forward { packet: bytes, ..Forward::default() };
-        let hash = self.hash(&flow);
-        match self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm) {
+        match self.home_of(&flow) {
             Some(home) if home != self.me => {
                 let unknown = Unknown { flow: Some(flow.into()), ..Unknown::default() };
                 self.send(home, Body::Unknown(unknown));
@@ -348,10 +347,8 @@
     fn place_elsewhere(&mut self, flow: Flow, bytes: &Bytes) {
         unusual!(self.events, "upstream gave the flow back"; "flow" => %flow,
             "connections" => self.table.connections(), "slots" => self.table.slots());
-        let hash = self.hash(&flow);
-        let home = self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm);
         self.table.remove(&flow);
-        let Some(home) = home else { return };
+        let Some(home) = self.home_of(&flow) else { return };
         if home == self.me {
             return self.place_again(flow, self.me, bytes.clone());
         }
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -13,6 +13,9 @@
 /// none is likely to come only over a link that loses most.
 const SILENCE: Duration = Duration::from_millis(2500);
 
+/// Time in which an upstream answers as many requests as its weight says.
+const WEIGHED: Duration = Duration::from_secs(1000);
+
 /// Addresses and last reported loads of the members.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -28,11 +31,10 @@
     /// Follows a change of members.
     pub(super) fn follow(&mut self, pool: &Pool, now: Instant) {
         self.heard.retain(|vm, _| pool.known(*vm).is_some());
-        for member in pool.members.iter().chain(&pool.out) {
+        for member in pool.all() {
             self.heard.entry(member.vm).or_insert(now);
         }
-        let known = pool.members.iter().chain(&pool.out);
-        self.ids = known.map(|member| (member.address, member.vm)).collect();
+        self.ids = pool.all().map(|member| (member.address, member.vm)).collect();
         self.loads.retain(|vm, _| pool.known(*vm).is_some());
         self.suspects.retain(|vm| pool.member(*vm).is_some());
     }
@@ -57,16 +59,21 @@
     }
 
     /// Whether a member was not heard for so long that it must be gone or cut off.
-    pub(super) fn is_silent(&self, vm: vm::Id, now: Instant) -> bool {
+    fn is_silent(&self, vm: vm::Id, now: Instant) -> bool {
         self.heard.get(&vm).is_some_and(|heard| now.duration_since(*heard) >= SILENCE)
     }
 
     /// Members that can be asked for a flow, those in failure domains that are out among them.
     ///
     /// `me` hears nothing from itself, and is never silent.
-    pub(super) fn heard_members(&self, pool: &Pool, me: vm::Id, now: Instant) -> Vec<vm::Id> {
-        let known = pool.members.iter().chain(&pool.out).map(|member| member.vm);
-        known.filter(|vm| *vm == me || !self.is_silent(*vm, now)).collect()
+    pub(super) fn heard_members(
+        &self,
+        pool: &Pool,
+        me: vm::Id,
+        now: Instant,
+    ) -> impl Iterator<Item = vm::Id> {
+        let known = pool.all().map(|member| member.vm);
+        known.filter(move |vm| *vm == me || !self.is_silent(*vm, now))
     }
 
     /// Notes a member's load.
@@ -141,7 +148,7 @@
     if load.room > 0 || load.weight == 0 {
         return Duration::ZERO;
     }
-    Duration::from_secs(1000) * (load.queue + 1) / load.weight
+    WEIGHED * (load.queue + 1) / load.weight
 }
 
 #[cfg(test)]
--- a/crates/hyssopdyked/src/agent/peers_tests.rs
+++ b/crates/hyssopdyked/src/agent/peers_tests.rs
@@ -38,11 +38,11 @@
     let mut peers = Peers::default();
     peers.follow(&pool, start);
     // A flow may be opened at any member whose report of it is still on its way.
-    assert_eq!(peers.heard_members(&pool, 1, start), [1, 2, 3, 4]);
+    assert_eq!(peers.heard_members(&pool, 1, start).collect::<Vec<_>>(), [1, 2, 3, 4]);
     // An agent does not hear itself; it is asked all the same.
     let later = start + 3 * SECOND;
     peers.heard(([10, 0, 0, 4], 5556).into(), later);
-    assert_eq!(peers.heard_members(&pool, 1, later), [1, 4]);
+    assert_eq!(peers.heard_members(&pool, 1, later).collect::<Vec<_>>(), [1, 4]);
 }
 
 #[test]
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -84,7 +84,7 @@
     }
 
     /// Offers a flow to the next member, until one takes it or none is left.
-    pub(super) fn ask_next(&mut self, flow: Flow) {
+    fn ask_next(&mut self, flow: Flow) {
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else { return };
         loop {
@@ -105,7 +105,7 @@
     }
 
     /// The member that is asked next to take a flow.
-    pub(super) fn next_member(&mut self, flow: Flow, route: &Route) -> Option<vm::Id> {
+    fn next_member(&mut self, flow: Flow, route: &Route) -> Option<vm::Id> {
         loop {
             let pool = self.pool.clone()?;
             let offer = self.directory.offer_mut(&flow)?;
@@ -144,7 +144,7 @@
     }
 
     /// Sends an offer to the member that is asked now.
-    pub(super) fn offer_to_asked(&mut self, flow: Flow, route: &Route) {
+    fn offer_to_asked(&mut self, flow: Flow, route: &Route) {
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         let Some(to) = offer.asked else { return };
         let (entry_address, entry_port) = offer.entry.map_or((0, 0), encode_address);
@@ -157,7 +157,7 @@
     }
 
     /// Offers a flow to this agent's own upstream; true if it needs no other member.
-    pub(super) fn admit_own(&mut self, flow: Flow) -> bool {
+    fn admit_own(&mut self, flow: Flow) -> bool {
         let Some(offer) = self.directory.offer_mut(&flow) else { return true };
         let (bytes, entry) = (offer.packet.clone(), offer.entry);
         let offer = offer.clone();
@@ -177,7 +177,7 @@
     }
 
     /// Lets a flow wait for room, or refuses it where that is of no use.
-    pub(super) fn wait_or_refuse(&mut self, flow: Flow, class: Class) {
+    fn wait_or_refuse(&mut self, flow: Flow, class: Class) {
         let now = clock::now();
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         // Of an exchange it is known that every member has more waiting than it can serve in time.
@@ -189,7 +189,7 @@
     }
 
     /// Refuses a flow of which no packet was delivered.
-    pub(super) fn refuse(&mut self, flow: Flow) {
+    fn refuse(&mut self, flow: Flow) {
         let Some(Record::Offered(offer)) = self.directory.remove(&flow) else { return };
         self.metrics.count("refused");
         let Ok(packet) = self.border.parse(&offer.packet) else { return };
@@ -286,7 +286,7 @@
     /// A member that is gone may have delivered a datagram, which must not run twice: such a flow
     /// stays with it. A TCP connection needs an answer that the member can no longer pass on, so
     /// the flow goes to another member.
-    pub(super) fn repeat_offer(&mut self, flow: Flow, vm: vm::Id) {
+    fn repeat_offer(&mut self, flow: Flow, vm: vm::Id) {
         let is_present = self.pool.as_ref().is_some_and(|pool| pool.member(vm).is_some());
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         offer.sent = clock::now();
@@ -314,7 +314,7 @@
     }
 
     /// Offers a waiting flow to a member that last reported room, or refuses it.
-    pub(super) fn offer_again(&mut self, flow: Flow, now: Instant) {
+    fn offer_again(&mut self, flow: Flow, now: Instant) {
         let Some(pool) = self.pool.clone() else { return };
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         if now.duration_since(offer.since) >= WAIT {
@@ -329,7 +329,7 @@
     }
 
     /// Sends an offer to the member that is asked now, by the route that the flow has now.
-    pub(super) fn send_again(&mut self, flow: Flow) {
+    fn send_again(&mut self, flow: Flow) {
         let view = Arc::clone(self.membership.view());
         if let Some(route) = view.route(flow.service, flow.protocol) {
             self.offer_to_asked(flow, route);
@@ -357,7 +357,7 @@
     }
 
     /// Offers a waiting flow to one member only.
-    pub(super) fn offer_to(&mut self, flow: Flow, vm: vm::Id) {
+    fn offer_to(&mut self, flow: Flow, vm: vm::Id) {
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         offer.declined.clear();
         offer.tries = 1;
@@ -373,7 +373,7 @@
     }
 
     /// Sequence number of a flow's first packet; 0 for a datagram.
-    pub(super) fn first_sequence(&self, packet: &Bytes) -> u32 {
+    fn first_sequence(&self, packet: &Bytes) -> u32 {
         let packet = self.border.parse(packet).ok();
         packet.and_then(|packet| packet.segment).map_or(0, |segment| segment.sequence)
     }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -20,7 +20,7 @@
 
 impl<B: Border> Worker<B> {
     /// Whether every other member has reported the flows whose home this agent is.
-    pub(super) fn knows_all_flows(&self) -> bool {
+    fn knows_all_flows(&self) -> bool {
         self.knows_records() && self.has_all(&self.own_barrier)
     }
 
@@ -38,9 +38,8 @@
     /// domains that are out.
     fn knows_flows_of_all(&self, now: Instant) -> bool {
         let Some(pool) = &self.pool else { return false };
-        let known = pool.members.iter().chain(&pool.out).map(|member| member.vm);
-        let heard = known.filter(|vm| *vm != self.me && !self.peers.is_silent(*vm, now));
-        self.own_barrier.is_complete(pool.epoch, heard)
+        let heard = self.peers.heard_members(pool, self.me, now);
+        self.own_barrier.is_complete(pool.epoch, heard.filter(|vm| *vm != self.me))
     }
 
     fn has_all(&self, barrier: &Barrier) -> bool {
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -21,7 +21,7 @@
     pub(super) fn search(&mut self, flow: Flow, forward: &Forward) {
         let now = clock::now();
         let Some(pool) = self.pool.clone() else { return };
-        let members = self.peers.heard_members(&pool, self.me, now);
+        let members: Vec<vm::Id> = self.peers.heard_members(&pool, self.me, now).collect();
         if !self.searches.start(flow, &members, now) {
             return self.metrics.count("dropped.searched");
         }
@@ -47,7 +47,7 @@
     }
 
     /// Hands the upstream a packet that it gives back if it does not hold the flow.
-    pub(super) fn ask_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
+    fn ask_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
         let now = clock::now();
         if !self.is_incomplete(now) || !self.upstream.is_alive(now) {
             return self.tell_missed(flow, home, bytes);
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -1,5 +1,6 @@
 //! The upstream beside the agent: what it says, and whether it answers.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use eyre::Result;
@@ -85,7 +86,7 @@
     }
 
     /// Whether there is an upstream, or may be one that has not reported yet.
-    pub(super) fn has_upstream(&self, now: Instant) -> bool {
+    fn has_upstream(&self, now: Instant) -> bool {
         let is_new =
             now.duration_since(self.started.0) < self.settings.heartbeat * FIRST_HEARTBEATS;
         self.settings.reports.is_none() || self.upstream.is_present(now, is_new)
@@ -132,11 +133,7 @@
 
     /// Spares an upstream that has sent nothing since it was asked to take a flow.
     pub(super) fn look_after_opening(&mut self, now: Instant) {
-        while let Some((since, flow)) = self.opening.front().copied() {
-            if now.duration_since(since) < ANSWERING {
-                return;
-            }
-            self.opening.pop_front();
+        while let Some((since, flow)) = take_due(&mut self.opening, ANSWERING, now) {
             self.confirming.push_back((since, flow));
             let is_taken = self.table.get(&flow).is_none_or(connection::State::is_open);
             let is_heard = self.upstream_heard.is_some_and(|heard| heard > since);
@@ -151,11 +148,7 @@
 
     /// Frees the slots of flows whose callers have not gone on with them.
     pub(super) fn look_after_confirming(&mut self, now: Instant) {
-        while let Some((since, flow)) = self.confirming.front().copied() {
-            if now.duration_since(since) < CONFIRMING {
-                return;
-            }
-            self.confirming.pop_front();
+        while let Some((_, flow)) = take_due(&mut self.confirming, CONFIRMING, now) {
             if B::SETTLES_OPENING {
                 self.table.release_unconfirmed(&flow);
             }
@@ -178,7 +171,7 @@
     }
 
     /// Gives all flows up, as the upstream does not hold them any more.
-    pub(super) fn lose_all(&mut self) {
+    fn lose_all(&mut self) {
         let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
         for flow in flows {
             unusual!(self.events, "flow ended with its upstream"; "flow" => %flow);
@@ -189,3 +182,12 @@
         self.limit.cool(clock::now());
     }
 }
+
+/// The oldest of some flows, if it has waited for a time.
+fn take_due(
+    flows: &mut VecDeque<(Instant, Flow)>,
+    age: Duration,
+    now: Instant,
+) -> Option<(Instant, Flow)> {
+    flows.pop_front_if(|(since, _)| now.duration_since(*since) >= age)
+}
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -95,8 +95,6 @@
     pub(super) is_member: bool,
     /// The failure domain is out, and the flows of before are served on.
     pub(super) is_out: bool,
-    /// The agent might act when that was last looked at.
-    was_active: bool,
     /// The process is about to stop and takes no new flows.
     pub(super) is_leaving: bool,
     /// Records that are not this agent's to keep may be in the directory.
@@ -165,7 +163,6 @@
             pool: None,
             is_member: false,
             is_out: false,
-            was_active: false,
             is_leaving: false,
             must_prune: false,
             is_fresh: true,
@@ -190,13 +187,12 @@
         }
     }
 
-    /// Notes whether the agent may act, where that has changed.
-    fn watch_lease(&mut self, now: Instant) {
+    /// Sets whether the agent can serve.
+    fn publish_ready(&self, now: Instant) {
         let may_act = self.may_act(now);
-        if std::mem::replace(&mut self.was_active, may_act) != may_act {
-            let is_member = self.is_member;
+        if self.ready.send_if_modified(|ready| std::mem::replace(ready, may_act) != may_act) {
             info!(self.events.logger(), "right to act"; "holds" => may_act,
-                "is_member" => is_member, "is_out" => self.is_out);
+                "is_member" => self.is_member, "is_out" => self.is_out);
         }
     }
 
@@ -268,6 +264,11 @@
         flow.hash(self.keys)
     }
 
+    /// The member that decides who owns a flow.
+    pub(super) fn home_of(&self, flow: &Flow) -> Option<vm::Id> {
+        self.pool.as_ref()?.home(self.hash(flow)).map(|home| home.vm)
+    }
+
     /// A member's name, for events.
     pub(super) fn name(&self, vm: vm::Id) -> Box<str> {
         let member = self.pool.as_ref().and_then(|pool| pool.known(vm));
@@ -392,8 +393,7 @@
         // What is left here is a closed flow whose ends begin a new one, which may go to another
         // upstream: its packets must not be taken for late ones of the closed flow.
         self.forget(&flow);
-        let hash = self.hash(&flow);
-        let home = self.pool.as_ref().and_then(|pool| pool.home(hash)).map(|home| home.vm);
+        let home = self.home_of(&flow);
         let stands_in = B::SETTLES_OPENING && forward.stand_in;
         if home == Some(self.me) || stands_in {
             self.home(flow, &packet, forward, from);
@@ -407,7 +407,7 @@
     }
 
     /// Reads a caller's packet and refuses one that no route of the agent's service has.
-    pub(super) fn checked(&mut self, bytes: &Bytes) -> Option<(Packet, Route)> {
+    pub(super) fn checked(&mut self, bytes: &Bytes) -> Option<(Packet, Arc<Route>)> {
         let Ok(packet) = self.border.parse(bytes) else {
             self.metrics.count("dropped.malformed");
             return None;
@@ -418,7 +418,7 @@
         if route.is_none() {
             self.metrics.count("dropped.foreign");
         }
-        route.map(|route| (packet, route.clone()))
+        route.map(|route| (packet, Arc::clone(route)))
     }
 
     /// Tells whether the agent can serve.
@@ -480,7 +480,6 @@
 
     fn sweep(&mut self) {
         let now = clock::now();
-        self.watch_lease(now);
         self.events.write_left_out();
         self.exchange_loads(now);
         if self.may_serve_own(now) {
@@ -502,16 +501,14 @@
     }
 
     pub(super) fn exchange_loads(&mut self, now: Instant) {
+        self.publish_ready(now);
         let Some(pool) = self.pool.clone() else {
             return;
         };
-        let is_ready = self.may_act(now);
-        self.ready.send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
         let load = self.load(now);
         self.peers.note(self.me, load);
         let me = self.me;
-        let known = pool.members.iter().chain(&pool.out);
-        for member in known.filter(|member| member.vm != me) {
+        for member in pool.all().filter(|member| member.vm != me) {
             let ping = self.membership.ping(Some(load), now);
             self.send_to(member.address, Body::Ping(ping));
         }
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -69,18 +69,12 @@
     };
     info!(events.logger(), "entry started";
         "fabric" => %fabric.local_addr()?, "peers" => %link.local_addr()?);
-    let session = Session::spawn(&common.cluster, control, announcement, events.clone());
+    let mut session = Session::spawn(&common.cluster, control, announcement, events.clone());
     let membership = Membership::new(boot, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("entry", &common, &events).await?;
     let mut worker = Worker::new(border, fabric, link, membership, metrics, &role, events.clone())?;
-    let _readiness = match role.readiness {
-        Some(address) => {
-            let router = readiness::router(worker.ready());
-            Some(Server::bind("[entry] readiness", address, router).await?)
-        }
-        None => None,
-    };
-    let mut session = session;
+    let router = readiness::router(worker.ready());
+    let _readiness = Server::bind("[entry] readiness", role.readiness, router).await?;
     tokio::select! {
         result = worker.run(&mut session) => return result,
         () = stop.asked() => {}
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// A caller's packet, read once.
+struct Inbound {
+    bytes: Bytes,
+    packet: Packet,
+    flow: Flow,
+    /// Hash of the flow.
+    hash: u64,
+}
+
 /// The entry's sockets and what it remembers.
 pub(super) struct Worker<B> {
     border: B,
@@ -67,7 +76,7 @@
     /// Whether this entry hears anybody outside its failure domain.
     contact: Contact,
     /// Packets that wait for the VM's link, where its rate is known.
-    shaper: Option<Shaper<Bytes>>,
+    shaper: Option<Shaper<Inbound>>,
     keys: (u64, u64),
     address: SocketAddr,
     events: Events,
@@ -102,7 +111,7 @@
             cache,
             suspects: Suspects::new(),
             contact: Contact::new(clock::now()),
-            shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT, clock::now())),
+            shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT)),
             keys,
             address,
             events,
@@ -213,12 +222,15 @@
             return self.metrics.count("dropped.malformed");
         };
         let flow = packet.inbound();
-        let Some(shaper) = &mut self.shaper else { return self.forward(bytes, &packet, flow) };
-        if shaper.pass(bytes.len(), now) {
-            return self.forward(bytes, &packet, flow);
+        let inbound = Inbound { bytes, packet, flow, hash: flow.hash(self.keys) };
+        let length = inbound.bytes.len();
+        let Some(shaper) = &mut self.shaper else { return self.forward(inbound) };
+        if shaper.pass(length, now) {
+            return self.forward(inbound);
         }
-        let waiting = Waiting { segment: packet.segment, bytes: bytes.len(), packet: bytes };
-        if shaper.push(flow.hash(self.keys), waiting).is_some() {
+        let hash = inbound.hash;
+        let waiting = Waiting { segment: inbound.packet.segment, bytes: length, packet: inbound };
+        if shaper.push(hash, waiting).is_some() {
             self.metrics.count("dropped.queue");
         }
     }
@@ -231,20 +243,17 @@
     /// Forwards the packets that the link takes now.
     fn forward_waiting(&mut self) {
         let now = clock::now();
-        while let Some(bytes) = self.shaper.as_mut().and_then(|shaper| shaper.pop(now)) {
-            if !self.membership.may_act(now) {
+        while let Some(inbound) = self.shaper.as_mut().and_then(|shaper| shaper.pop(now)) {
+            if self.membership.may_act(now) {
+                self.forward(inbound);
+            } else {
                 self.metrics.count("dropped.inactive");
-                continue;
-            }
-            // What waits was read before.
-            if let Ok(packet) = self.border.parse(&bytes) {
-                let flow = packet.inbound();
-                self.forward(bytes, &packet, flow);
             }
         }
     }
 
-    fn forward(&mut self, bytes: Bytes, packet: &Packet, flow: Flow) {
+    fn forward(&mut self, inbound: Inbound) {
+        let Inbound { packet, flow, .. } = &inbound;
         let view = Arc::clone(self.membership.view());
         let Some(route) = view.route(flow.service, flow.protocol) else {
             unusual!(self.events, "packet has no route"; "flow" => %flow,
@@ -252,19 +261,19 @@
             return self.metrics.count("dropped.unknown_service");
         };
         let opens = packet.segment.is_none_or(|segment| segment.opens());
-        let Some((target, stand_in)) = self.target(route, &flow, opens, packet.copies) else {
+        let Some((target, stand_in)) = self.target(route, &inbound, opens) else {
             unusual!(self.events, "packet has no member to go to"; "flow" => %flow,
                 "out" => route.pool.out.len());
             return self.metrics.count("dropped.no_member");
         };
         if opens {
-            self.note_opening(&flow, packet, target, stand_in);
+            self.note_opening(&inbound, target, stand_in);
         } else {
-            self.note_repetition(&flow, packet, target);
+            self.note_repetition(&inbound, target);
         }
         let (entry_address, entry_port) = encode_address(self.address);
         let forward = Forward {
-            packet: bytes,
+            packet: inbound.bytes,
             hops: HOPS,
             entry_address,
             entry_port,
@@ -279,7 +288,8 @@
     }
 
     /// Writes where a flow's first packet goes.
-    fn note_opening(&self, flow: &Flow, packet: &Packet, to: &Member, stand_in: bool) {
+    fn note_opening(&self, inbound: &Inbound, to: &Member, stand_in: bool) {
+        let Inbound { packet, flow, .. } = inbound;
         if stand_in || packet.copies > 0 {
             unusual!(self.events, "first packet goes past its home"; "flow" => %flow,
                 "to" => &*to.name, "copies" => packet.copies, "stand_in" => stand_in);
@@ -290,11 +300,12 @@
     }
 
     /// Writes that a caller repeats itself: its packet, or the answer to it, was lost.
-    fn note_repetition(&mut self, flow: &Flow, packet: &Packet, to: &Member) {
-        let Some(segment) = packet.segment.filter(|segment| segment.length > 0) else { return };
-        if self.cache.is_repeated(flow.hash(self.keys), segment.sequence) {
+    fn note_repetition(&mut self, inbound: &Inbound, to: &Member) {
+        let segment = inbound.packet.segment.filter(|segment| segment.length > 0);
+        let Some(segment) = segment else { return };
+        if self.cache.is_repeated(inbound.hash, segment.sequence) {
             self.metrics.count("repeated");
-            unusual!(self.events, "caller repeats a packet"; "flow" => %flow, "to" => &*to.name,
+            unusual!(self.events, "caller repeats a packet"; "flow" => %inbound.flow, "to" => &*to.name,
                 "sequence" => segment.sequence, "length" => segment.length);
         }
     }
@@ -303,12 +314,11 @@
     fn target<'a>(
         &mut self,
         route: &'a Route,
-        flow: &Flow,
+        inbound: &Inbound,
         opens: bool,
-        copies: u32,
     ) -> Option<(&'a Member, bool)> {
         let pool: &Pool = &route.pool;
-        let hash = flow.hash(self.keys);
+        let (hash, copies) = (inbound.hash, inbound.packet.copies);
         if let Some(owner) = self.cache.owner(hash).filter(|_| copies == 0)
             && let Some(owner) = pool.known(owner)
         {
@@ -393,7 +403,6 @@
     }
 
     fn tick(&mut self) {
-        self.publish_ready();
         self.events.write_left_out();
         self.ask_suspects();
         self.membership.ask_peers(&mut self.link, clock::now());
--- a/crates/hyssopdyked/src/log.rs
+++ b/crates/hyssopdyked/src/log.rs
@@ -6,7 +6,7 @@
 //! What flows bring about is written by [`routine!`] and [`unusual!`], within a budget for each
 //! kind of event and second. The rest is counted, and the count is written.
 
-use std::sync::{Arc, Mutex, PoisonError, RwLock, mpsc};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, mpsc};
 use std::time::{Duration, Instant, SystemTime};
 
 use hyssopdyke::process::{Budget, EventKind};
@@ -118,18 +118,22 @@
             Rank::Routine => ROUTINE,
             Rank::Unusual => UNUSUAL,
         };
-        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.admits(kind, most, clock::now()).then(|| self.logger())
+        self.budget().admits(kind, most, clock::now()).then(|| self.logger())
     }
 
     /// Writes how many events were left out in the seconds that are over.
     pub(crate) fn write_left_out(&self) {
-        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        for (kind, count) in budget.take_left_out(clock::now()) {
+        let left_out = self.budget().take_left_out(clock::now());
+        for (kind, count) in left_out {
             info!(self.logger(), "events left out"; "kind" => kind, "count" => count);
         }
     }
 
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        // Each change of a budget is whole after a panic too.
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The logger, for slog's macros.
     pub(crate) fn logger(&self) -> Logger {
         self.current.read().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/hyssopdyked/src/metrics/mod.rs
+++ b/crates/hyssopdyked/src/metrics/mod.rs
@@ -63,14 +63,9 @@
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(levels.clone()))?;
         registry.register(Box::new(times.clone()))?;
-        let server = match common.log.metrics {
-            Some(address) => {
-                let router =
-                    Router::new().route("/metrics", get(serve)).with_state((registry, log.clone()));
-                Some(Server::bind("[log] metrics", address, router).await?)
-            }
-            None => None,
-        };
+        let router =
+            Router::new().route("/metrics", get(serve)).with_state((registry, log.clone()));
+        let server = Server::bind("[log] metrics", common.log.metrics, router).await?;
         Ok(Self { client, counts: BTreeMap::new(), events, levels, times, _server: server })
     }
 
--- a/crates/hyssopdyked/src/node/http.rs
+++ b/crates/hyssopdyked/src/node/http.rs
@@ -11,14 +11,19 @@
 pub(crate) struct Server(JoinHandle<()>);
 
 impl Server {
-    /// Binds an address that the setting `key` names, and serves.
-    pub(crate) async fn bind(key: &str, address: SocketAddr, router: Router) -> Result<Self> {
+    /// Binds the address that the setting `key` names, if it does, and serves there.
+    pub(crate) async fn bind(
+        key: &str,
+        address: Option<SocketAddr>,
+        router: Router,
+    ) -> Result<Option<Self>> {
+        let Some(address) = address else { return Ok(None) };
         let listener =
             TcpListener::bind(address).await.wrap_err_with(|| format!("{key}: {address}"))?;
-        Ok(Self(tokio::spawn(async move {
+        Ok(Some(Self(tokio::spawn(async move {
             // Accepting goes on after every error, so that serving never ends.
             let _ = axum::serve(listener, router).await;
-        })))
+        }))))
     }
 }
 
--- a/crates/hyssopdyked/src/settings/entry.rs
+++ b/crates/hyssopdyked/src/settings/entry.rs
@@ -7,6 +7,12 @@
 use super::fault::Cause;
 use super::{PacketForm, Role, Section, Vm};
 
+/// Time that a stopping entry has where none is set: what service managers commonly give.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Least and most of what may be set for it.
+const GRACES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_hours(1));
+
 /// Ports and memory of an entry.
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
@@ -39,8 +45,7 @@
         }
         let packets = section.optional("packets", "one of tunneled, platform");
         let fabric = section.optional("fabric", "a socket address");
-        let (least, most) = (Duration::from_millis(100), Duration::from_hours(1));
-        let grace = section.time("grace", Duration::from_secs(5), (least, most));
+        let grace = section.time("grace", GRACE, GRACES);
         let readiness = section.optional("readiness", "a socket address");
         let link_mbit = section.optional("link_mbit", "a rate in megabits a second");
         if link_mbit.is_some_and(|rate: f64| !rate.is_finite() || rate <= 0.0) {
--- a/crates/hyssopdyked/tests/control.rs
+++ b/crates/hyssopdyked/tests/control.rs
@@ -8,8 +8,8 @@
 
 use hyssopctl::{Client, Error, Precondition};
 use hyssopdyke_wire::resource::{Domain, Kind, Resource, resource::Body};
-use standin::{Layout, Process, ServiceLayout, Tally};
-use support::{Bench, PATIENCE, service, wait};
+use standin::{Layout, Process, ServiceLayout, Tally, unserved};
+use support::{Bench, PATIENCE, wait};
 
 fn layout(control: u8) -> Layout {
     let services = vec![ServiceLayout::new("dispatch", 3)];
@@ -18,7 +18,7 @@
 
 fn write(client: &Client, name: &str, connections: u32) -> Resource {
     let key = Client::idempotency_key();
-    client.put(Kind::Service, &service(name, connections), Precondition::None, &key).unwrap()
+    client.put(Kind::Service, &unserved(name, connections), Precondition::None, &key).unwrap()
 }
 
 fn connections(client: &Client, name: &str) -> u32 {
@@ -97,7 +97,7 @@
             let client = client.clone();
             scope.spawn(move || {
                 let key = format!("race-{index}");
-                let resource = service("probe", 10 + index);
+                let resource = unserved("probe", 10 + index);
                 (index, client.put(Kind::Service, &resource, precondition, &key))
             })
         });
@@ -120,7 +120,7 @@
     let (_, answer) = results.into_iter().find(|(index, _)| *index == winner).unwrap();
     write(&client, "probe", 500);
     bench.cluster.process(&leader(&client)).unwrap().kill().unwrap();
-    let (resource, key) = (service("probe", 10 + winner), format!("race-{winner}"));
+    let (resource, key) = (unserved("probe", 10 + winner), format!("race-{winner}"));
     let repeat = client.put(Kind::Service, &resource, precondition, &key).unwrap();
     assert_eq!(repeat, answer.unwrap());
     assert_eq!(connections(&client, "probe"), 500, "a repeat was applied again");
@@ -254,17 +254,17 @@
 fn write_invalid() {
     let bench = Bench::start("write_invalid", layout(1));
     let client = bench.cluster.client();
-    let mut clash = service("other", 5);
+    let mut clash = unserved("other", 5);
     if let Some(Body::Service(body)) = &mut clash.body {
         body.listeners[0].address = "10.100.0.1".into();
     }
-    let mut slots = service("other", 5);
+    let mut slots = unserved("other", 5);
     if let Some(Body::Service(body)) = &mut slots.body {
         body.cold_slots = 9;
     }
     let cases = [
-        (service("bad name", 1), "400"),
-        (service("other", 0), "connections: 0 is not between 1 and 1000000"),
+        (unserved("bad name", 1), "400"),
+        (unserved("other", 0), "connections: 0 is not between 1 and 1000000"),
         (slots, "cold_slots: 9 is not between 1 and 5"),
         (clash, "listeners: 10.100.0.1:80 also belongs to service dispatch"),
     ];
--- a/crates/hyssopdyked/tests/support/mod.rs
+++ b/crates/hyssopdyked/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hyssopctl::{Client, Precondition};
-use hyssopdyke_wire::resource::{Kind as ResourceKind, Resource, State, resource::Body};
+use hyssopdyke_wire::resource::{Kind as ResourceKind, State, resource::Body};
 use standin::{Callers, Cluster, Kind, Layout, Outcome, ServiceLayout, Spec, Tally};
 
 /// Patience with anything that must happen some time; no measure of how soon.
@@ -153,22 +153,3 @@
 pub fn wait(what: &str, holds: impl Fn() -> bool) {
     assert!(standin::within(PATIENCE, holds), "never: {what}");
 }
-
-/// The outcome of a service resource's write.
-pub fn service(name: &str, connections: u32) -> Resource {
-    use hyssopdyke_wire::resource::{Class, Listener, Protocol, Service};
-    let listener = Listener {
-        address: "10.100.9.9".into(),
-        port: 80,
-        protocol: Protocol::Tcp as i32,
-        class: Class::Request as i32,
-    };
-    let service = Service {
-        listeners: vec![listener],
-        connections,
-        slots: 5,
-        cold_slots: 1,
-        ..Service::default()
-    };
-    Resource { name: name.into(), body: Some(Body::Service(service)), ..Resource::default() }
-}
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -1,7 +1,7 @@
 //! An operator who writes all the time, and remembers what was acknowledged.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -11,9 +11,6 @@
 /// Pause between two writes.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Connections that the written service declares at first; each write declares one more.
-const FIRST: u32 = 2000;
-
 /// What the operator knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Written {
@@ -33,6 +30,9 @@
 }
 
 impl Operator {
+    /// Connections that the written service declares at first; each write declares one more.
+    pub(crate) const FIRST: u32 = 2000;
+
     /// Starts to write a service, which is declared already.
     pub(crate) fn spawn(client: Client, service: Resource) -> Self {
         let written = Arc::new(Mutex::new(Written::default()));
@@ -44,13 +44,13 @@
 
     /// What was written so far.
     pub(crate) fn written(&self) -> Written {
-        *self.written.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.written)
     }
 
     /// The number of the write that a service shows.
     pub(crate) fn number_of(service: &Resource) -> u32 {
         match &service.body {
-            Some(Body::Service(service)) => service.connections.saturating_sub(FIRST),
+            Some(Body::Service(service)) => service.connections.saturating_sub(Self::FIRST),
             _ => 0,
         }
     }
@@ -71,20 +71,21 @@
     while !stop.load(Ordering::Relaxed) {
         number += 1;
         if let Some(Body::Service(service)) = &mut resource.body {
-            service.connections = FIRST + number;
+            service.connections = Operator::FIRST + number;
         }
-        let note = |change: &dyn Fn(&mut Written)| {
-            change(&mut written.lock().unwrap_or_else(PoisonError::into_inner));
-        };
-        note(&|written| written.sent = number);
+        lock(written).sent = number;
         let key = Client::idempotency_key();
         // Without an acknowledgement the write may or may not be in force.
         if client.put(Kind::Service, &resource, Precondition::None, &key).is_ok() {
-            note(&|written| {
-                written.acknowledged = number;
-                written.count += 1;
-            });
+            let mut written = lock(written);
+            written.acknowledged = number;
+            written.count += 1;
         }
         std::thread::sleep(PAUSE);
     }
 }
+
+fn lock(written: &Mutex<Written>) -> MutexGuard<'_, Written> {
+    // Each number is set by itself, so that they are whole after a panic too.
+    written.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -6,15 +6,12 @@
 use std::time::{Duration, Instant};
 
 use hyssopctl::{Client, Error as ClientError, Precondition};
-use hyssopdyke_wire::resource::{
-    Class, Kind as ResourceKind, Listener, Protocol, Resource, Service, State, Upstream,
-    resource::Body,
-};
+use hyssopdyke_wire::resource::{Kind as ResourceKind, State, Upstream, resource::Body};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use standin::{
     Callers, Cluster, Error as ClusterError, Faults, Harm, Kind as Flow, Layout, Outcome, Relay,
-    ServiceLayout, Spec, within,
+    ServiceLayout, Spec, unserved, within,
 };
 
 use crate::operator::Operator;
@@ -41,6 +38,9 @@
 /// Time within which a failure domain that is out falls silent.
 const SILENT: Duration = Duration::from_secs(3);
 
+/// Time that an operator or a caller waits before it tries again: longer than an election.
+const PATIENCE: Duration = Duration::from_secs(3);
+
 /// Pause of the soak's clock.
 const STEP: Duration = Duration::from_millis(2);
 
@@ -136,8 +136,8 @@
     pub fn start(binary: &Path, folder: &Path, plan: Plan) -> Result<Self, Error> {
         let cluster = Cluster::start(binary, folder, plan.layout())?;
         let callers = cluster.callers(1)?;
-        let written = written_service();
-        let client = cluster.client().clone().patience(Duration::from_secs(3));
+        let written = unserved(WRITTEN, Operator::FIRST);
+        let client = cluster.client().clone().patience(PATIENCE);
         client.put(
             ResourceKind::Service,
             &written,
@@ -352,7 +352,7 @@
 
     fn set_domain(&self, domain: &str, out: bool) -> bool {
         let set = self.cluster.set_domain(domain, out);
-        set.is_ok_and(|revision| self.client().wait(revision, SILENT).is_ok())
+        set.is_ok_and(|revision| self.client().wait(revision, PATIENCE).is_ok())
     }
 
     fn set_draining(&self, name: &str, state: State) -> Result<(), ClientError> {
@@ -366,7 +366,7 @@
     }
 
     fn client(&self) -> Client {
-        self.cluster.client().clone().patience(SILENT)
+        self.cluster.client().clone().patience(PATIENCE)
     }
 
     /// Identities of the voters' data folders, by name.
@@ -422,7 +422,7 @@
         while start.elapsed() < HEALING {
             let id = self.ask();
             let has_ended = || self.callers.outcomes().contains_key(&id);
-            if !within(SILENT, has_ended) {
+            if !within(PATIENCE, has_ended) {
                 continue;
             }
             if matches!(self.callers.outcomes().get(&id), Some(Outcome::Whole { .. })) {
@@ -484,25 +484,6 @@
     }
 }
 
-/// The service that the operator writes; nobody serves or calls it.
-fn written_service() -> Resource {
-    let listener = Listener {
-        address: "10.100.9.9".into(),
-        port: 80,
-        protocol: Protocol::Tcp as i32,
-        class: Class::Request as i32,
-    };
-    let service = Service {
-        listeners: vec![listener],
-        connections: 2000,
-        slots: 5,
-        cold_slots: 5,
-        ..Service::default()
-    };
-    let body = Some(Body::Service(service));
-    Resource { name: WRITTEN.into(), body, ..Resource::default() }
-}
-
 /// Whether the faults of an episode may cost streams: a failure domain is out, or a flow's owner
 /// and whoever keeps its record are gone at the same time.
 fn may_break_streams(faults: &[Fault]) -> bool {
--- /dev/null
+++ b/crates/standin/src/unserved.rs
@@ -0,0 +1,22 @@
+//! Something to write that takes no part in the traffic.
+
+use hyssopdyke_wire::resource::{Class, Listener, Protocol, Resource, Service, resource::Body};
+
+/// A service that nobody serves or calls.
+#[must_use]
+pub fn unserved(name: &str, connections: u32) -> Resource {
+    let listener = Listener {
+        address: "10.100.9.9".into(),
+        port: 80,
+        protocol: Protocol::Tcp as i32,
+        class: Class::Request as i32,
+    };
+    let service = Service {
+        listeners: vec![listener],
+        connections,
+        slots: 5,
+        cold_slots: 1,
+        ..Service::default()
+    };
+    Resource { name: name.into(), body: Some(Body::Service(service)), ..Resource::default() }
+}
