fix(control): what is heard of a VM no longer breaks off the attempt to connect to it

Found by reading: each message from a control VM broke off the attempt to connect to that VM, which was begun anew. Over a way of 24 ms and back, messages that come more often than that would have kept it from ever being connected to. The wake-up had been put around the attempt because that lasted up to 0.5 s. Now the attempt itself lasts 0.1 s, as that of daemons' sessions does (one constant, in stream.rs), and what is heard ends only the pause between two attempts.

--- a/crates/hyssopdyked/src/control/replica.rs
+++ b/crates/hyssopdyked/src/control/replica.rs
@@ -30,9 +30,6 @@
 /// Messages that may wait for a connection.
 const QUEUE: usize = 64;
 
-/// Time for connecting: several times the longest way and back.
-const CONNECTING: Duration = Duration::from_millis(500);
-
 /// Time for writing a message.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -74,7 +71,7 @@
     }
 
     /// Notes that a VM was heard: one that was dark when it was connected to is there now, and the
-    /// answer to it must not wait for the end of that attempt.
+    /// answer to it must not wait for the next attempt, nor be dropped for its age.
     pub(super) fn note_heard(&self, from: &SocketAddr) {
         if let Some(peer) = self.peers.get(from) {
             peer.heard.notify_one();
@@ -90,12 +87,7 @@
 /// Sends messages to one VM, over one connection after another.
 async fn feed(to: SocketAddr, key: Key, mut messages: mpsc::Receiver<Message>, heard: Arc<Notify>) {
     while !messages.is_closed() {
-        let connecting = stream::connect(to, CONNECTING);
-        let connected = tokio::select! {
-            connected = connecting => connected,
-            () = heard.notified() => continue,
-        };
-        if let Ok(stream) = connected {
+        if let Ok(stream) = stream::connect(to).await {
             let codec = Codec::with_frame_bytes(key.clone(), MESSAGE_BYTES);
             send_all(&mut messages, Framed::new(stream, codec)).await;
         }
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -24,9 +24,6 @@
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(1);
 
-/// Time for connecting: several times the longest way and back. VMs without power do not answer.
-const CONNECTING: Duration = Duration::from_millis(100);
-
 /// Time for the answer to a renewal.
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -252,7 +249,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Framed<TcpStream, Codec<Frame>>, End> {
-        let stream = stream::connect(address, CONNECTING).await?;
+        let stream = stream::connect(address).await?;
         let mut stream = Framed::new(stream, Codec::new(self.key.clone()));
         let hello = Hello {
             name: self.announcement.name.to_string(),
--- a/crates/hyssopdyked/src/stream.rs
+++ b/crates/hyssopdyked/src/stream.rs
@@ -15,9 +15,13 @@
 /// way and back, and below the length of a lease.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1200);
 
-/// Opens a connection within `patience`.
-pub(crate) async fn connect(address: SocketAddr, patience: Duration) -> std::io::Result<TcpStream> {
-    let connecting = timeout(patience, TcpStream::connect(address));
+/// Time for connecting: several times the longest way and back, and short, since VMs without power do
+/// not answer and the next attempt may meet one that is back.
+const CONNECTING: Duration = Duration::from_millis(100);
+
+/// Opens a connection, or gives up after `CONNECTING`.
+pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let connecting = timeout(CONNECTING, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
     tune(&stream)?;
     Ok(stream)
