feat(membership): homes among a bounded set of members

Cause: each change of a group's members made each member send two full reports to each other one, 2 N (N - 1) reports and as many acknowledgements, and loads went from each to each once a second.

Change: at most 16 members of a group, by rank, are homes. Control records the revision at which they last changed; a home needs the reports of all members once for it, a process that has just started needs the records of its flows, all others need nothing. Loads go to the homes alone, and ask for an answer only while control does not renew the lease. Agents that know only the former form keep a group in it: all members are homes, and all reports are made again at each change.

Ruled out: homes by slots of the flow hash (moves less at a change, but a fallback without loads), and the set of homes as the epoch (a home that leaves and returns gives the same set).

--- a/crates/hyssopctl/src/operation.rs
+++ b/crates/hyssopctl/src/operation.rs
@@ -41,12 +41,15 @@
     Ok(listing.resources.into_iter().find(|resource| resource.name == name))
 }
 
-/// Returns whether the current resource equals the declared one, regardless of its epoch.
+/// Returns whether the current resource equals the declared one, regardless of its epochs.
 fn is_unchanged(current: &Resource, declared: &Resource) -> bool {
     match (&current.body, &declared.body) {
         (Some(Body::Service(current)), Some(Body::Service(declared))) => {
-            let declared =
-                hyssopdyke_wire::resource::Service { epoch: current.epoch, ..declared.clone() };
+            let declared = hyssopdyke_wire::resource::Service {
+                epoch: current.epoch,
+                home_epoch: current.home_epoch,
+                ..declared.clone()
+            };
             *current == declared
         }
         (current, declared) => current == declared,
--- a/crates/hyssopdyke/src/process/barrier.rs
+++ b/crates/hyssopdyke/src/process/barrier.rs
@@ -1,6 +1,6 @@
 //! Tracks whether a home has records of all flows that its service's members own.
 //!
-//! After a change of members, a new home may not place a flow before each member has reported, for
+//! After a change of the homes, a home may not place a flow before each member has reported, for
 //! the same epoch, its flows that now belong to that home. A member that has reported for an epoch
 //! rejects offers of the former home, so that a flow is never placed by both homes.
 
@@ -15,6 +15,12 @@
     expected: u32,
 }
 
+impl Progress {
+    fn is_complete(&self) -> bool {
+        self.expected > 0 && self.parts.len() == self.expected as usize
+    }
+}
+
 /// Progress of the members' reports.
 #[derive(Debug, Default)]
 pub struct Barrier {
@@ -45,17 +51,22 @@
 
     /// Returns whether each of `members` has sent all parts of its report for `epoch`.
     pub fn is_complete(&self, epoch: u64, members: impl IntoIterator<Item = vm::Id>) -> bool {
-        members.into_iter().all(|member| {
-            self.progress.get(&member).is_some_and(|progress| {
-                progress.epoch == epoch
-                    && progress.expected > 0
-                    && progress.parts.len() == progress.expected as usize
-            })
-        })
+        let reported = |progress: &Progress| progress.epoch == epoch && progress.is_complete();
+        members.into_iter().all(|member| self.progress.get(&member).is_some_and(reported))
+    }
+
+    /// Returns whether each of `members` has sent all parts of its report for `epoch` or a later
+    /// one.
+    pub fn is_complete_since(&self, epoch: u64, members: impl IntoIterator<Item = vm::Id>) -> bool {
+        let reported = |progress: &Progress| progress.epoch >= epoch && progress.is_complete();
+        members.into_iter().all(|member| self.progress.get(&member).is_some_and(reported))
     }
 
-    /// Retains only the reports of members for which `is_member` returns true.
-    pub fn retain(&mut self, is_member: impl Fn(vm::Id) -> bool) {
-        self.progress.retain(|member, _| is_member(*member));
+    /// Drops the reports for epochs before `epoch`.
+    ///
+    /// Those of members that have left are kept: such a member may be back already, and have
+    /// reported again, in a revision that this process has not applied yet.
+    pub fn forget_before(&mut self, epoch: u64) {
+        self.progress.retain(|_, progress| progress.epoch >= epoch);
     }
 }
--- a/crates/hyssopdyke/src/version/home.rs
+++ b/crates/hyssopdyke/src/version/home.rs
@@ -3,10 +3,18 @@
 //! Homes are computed from the members alone, by highest random weight (Thaler and Ravishankar,
 //! "Using name-based mappings to increase hit rates", 1998). They do not depend on load or
 //! capacity, so that only a change of members moves homes, and only the homes of the members that
-//! were added or removed.
+//! were added or removed. In a large group, only the highest-ranked members are homes, so that most
+//! changes of members move no home at all.
 
 use crate::vm;
 
+/// Maximum number of homes in a group. Every member reports its flows to each home, so that this
+/// bounds what a change of the homes costs a member, however many members the group has.
+const MAX_HOMES: usize = 16;
+
+/// Hash that ranks the members of a group as homes.
+const HOMES_HASH: u64 = 0x686f_6d65_735f_6f66;
+
 /// Ranking of members for flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ranking;
@@ -24,6 +32,29 @@
         mixed ^ (mixed >> 31)
     }
 
+    /// Returns the members among which the homes of all flows are chosen, by id: all members of a
+    /// small group, and the highest-ranked ones of a large group.
+    ///
+    /// ```
+    /// use hyssopdyke::version::Ranking;
+    ///
+    /// let homes = Ranking::homes(0..100);
+    /// let departed = (0..100).find(|vm| !homes.contains(vm)).unwrap();
+    /// let remaining = (0..100).filter(|vm| *vm != departed);
+    /// assert_eq!(Ranking::homes(remaining), homes);
+    /// ```
+    pub fn homes(members: impl IntoIterator<Item = vm::Id>) -> Vec<vm::Id> {
+        let mut homes: Vec<vm::Id> = members.into_iter().collect();
+        if homes.len() > MAX_HOMES {
+            homes.select_nth_unstable_by_key(MAX_HOMES, |vm| {
+                std::cmp::Reverse(Self::weight(HOMES_HASH, *vm))
+            });
+            homes.truncate(MAX_HOMES);
+        }
+        homes.sort_unstable();
+        homes
+    }
+
     /// Returns the two members with the highest weights for a flow, the first being its home.
     ///
     /// ```
--- a/crates/hyssopdyke/src/version/mod.rs
+++ b/crates/hyssopdyke/src/version/mod.rs
@@ -6,6 +6,7 @@
 
 mod group;
 mod home;
+mod homes;
 mod pool;
 mod registry;
 mod replica;
--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -22,6 +22,10 @@
     pub address: SocketAddr,
     /// Identity of the agent's process.
     pub boot: u64,
+    /// Revision at which the agent's process was admitted.
+    pub incarnation: u64,
+    /// Whether the agent chooses homes among a bounded number of members.
+    pub has_bounded_homes: bool,
     /// Whether the upstream accepts no new flows.
     pub is_draining: bool,
 }
@@ -46,6 +50,10 @@
 pub struct Pool {
     /// Revision of the last change of the members.
     pub epoch: u64,
+    /// Revision of the last change of the homes.
+    pub home_epoch: u64,
+    /// Members among which the homes of all flows are chosen, by id.
+    pub homes: Vec<vm::Id>,
     /// Capacity of one upstream, by service name.
     pub services: BTreeMap<Box<str>, Capacity>,
     /// Members whose failure domains were not taken out, by id.
@@ -55,6 +63,23 @@
 }
 
 impl Pool {
+    /// Returns the members among which the homes are chosen. All members are homes as long as the
+    /// agent of one of them has a version that knows no others.
+    #[must_use]
+    pub(super) fn select_homes(members: &[Member]) -> Vec<vm::Id> {
+        let mut all: Vec<vm::Id> = members.iter().map(|member| member.vm).collect();
+        if Self::has_bounded_homes(members) {
+            return Ranking::homes(all);
+        }
+        all.sort_unstable();
+        all
+    }
+
+    /// Returns whether the agents of all members choose homes among a bounded number of members.
+    pub(super) fn has_bounded_homes(members: &[Member]) -> bool {
+        members.iter().all(|member| member.has_bounded_homes)
+    }
+
     /// Returns the member on a VM.
     #[must_use]
     pub fn member(&self, vm: vm::Id) -> Option<&Member> {
@@ -73,18 +98,32 @@
         self.member(vm).or_else(|| self.out_members.iter().find(|member| member.vm == vm))
     }
 
-    /// Returns the two highest-ranked members for a flow, the first being its home.
+    /// Returns whether the member on a VM is the home of some flows.
+    #[must_use]
+    pub fn is_home(&self, vm: vm::Id) -> bool {
+        self.homes.binary_search(&vm).is_ok()
+    }
+
+    /// Returns the revision from which on the member on a VM needs the reports of all other
+    /// members: that of its process's admission or, for a home, of a later change of the homes.
+    #[must_use]
+    pub fn report_epoch(&self, vm: vm::Id) -> Option<u64> {
+        let incarnation = self.find(vm)?.incarnation;
+        Some(if self.is_home(vm) { self.home_epoch.max(incarnation) } else { incarnation })
+    }
+
+    /// Returns the two highest-ranked homes for a flow, the first being the flow's home.
     #[must_use]
     pub fn top_two(&self, flow: u64) -> (Option<vm::Id>, Option<vm::Id>) {
-        Ranking::top_two(flow, self.members.iter().map(|member| member.vm))
+        Ranking::top_two(flow, self.homes.iter().copied())
     }
 
-    /// Returns the highest-ranked member for a flow that is not excluded, or the home if all
-    /// members are excluded.
+    /// Returns the highest-ranked home for a flow that is not excluded, or the flow's home if all
+    /// homes are excluded.
     #[must_use]
     pub fn fallback_home(&self, flow: u64, is_excluded: impl Fn(vm::Id) -> bool) -> Option<vm::Id> {
-        let all = || self.members.iter().map(|member| member.vm);
-        let (fallback, _) = Ranking::top_two(flow, all().filter(|vm| !is_excluded(*vm)));
+        let remaining = self.homes.iter().copied().filter(|vm| !is_excluded(*vm));
+        let (fallback, _) = Ranking::top_two(flow, remaining);
         fallback.or_else(|| self.top_two(flow).0)
     }
 
--- a/crates/hyssopdyke/src/version/registry.rs
+++ b/crates/hyssopdyke/src/version/registry.rs
@@ -9,8 +9,11 @@
 use hyssopdyke_wire::ledger::{
     Answer, Command, Configuration, Declare, Register, Snapshot, Unregister, Write, command,
 };
-use hyssopdyke_wire::resource::{Declaration, Kind, Resource, Route, State, resource::Body};
+use hyssopdyke_wire::resource::{
+    Declaration, Kind, Resource, Route, Service, State, resource::Body,
+};
 
+use super::homes::Homes;
 use super::store::{Key, kind};
 use super::{Groups, Store};
 
@@ -47,6 +50,8 @@
     configuration: Configuration,
     /// The current declaration as the operator wrote it.
     document: Bytes,
+    /// Homes as of the last applied command.
+    homes: Homes,
 }
 
 impl Registry {
@@ -80,6 +85,15 @@
 
     /// Applies a command and returns its outcome.
     pub fn apply(&mut self, command: Command) -> Outcome {
+        let revision = self.store.revision();
+        let outcome = self.execute(command);
+        if self.store.revision() > revision {
+            self.record_home_changes();
+        }
+        outcome
+    }
+
+    fn execute(&mut self, command: Command) -> Outcome {
         match command.body {
             Some(command::Body::Write(write)) => self.write(write),
             Some(command::Body::Register(register)) => self.register(register),
@@ -122,6 +136,7 @@
             registry.store.put(resource);
         }
         registry.store.advance_to(snapshot.revision);
+        registry.homes = Homes::new(&registry.store);
         for answer in snapshot.answers {
             registry.store_answer(answer);
         }
@@ -161,9 +176,11 @@
         let revision = self.store.revision() + 1;
         match (&mut resource.body, current.as_ref().and_then(|current| current.body.as_ref())) {
             (Some(Body::Service(service)), Some(Body::Service(former))) => {
-                service.epoch = former.epoch;
+                (service.epoch, service.home_epoch) = (former.epoch, former.home_epoch);
+            }
+            (Some(Body::Service(service)), _) => {
+                (service.epoch, service.home_epoch) = (revision, revision);
             }
-            (Some(Body::Service(service)), _) => service.epoch = revision,
             // An operator may change only the state of an upstream that an agent has registered.
             (Some(Body::Upstream(upstream)), Some(Body::Upstream(former))) => {
                 let state = upstream.state;
@@ -231,9 +248,9 @@
     fn replace(&mut self, kind: Kind, mut resource: Resource, revision: u64) {
         let former = self.store.get(kind, &resource.name).and_then(|found| found.body.as_ref());
         if let Some(Body::Service(service)) = &mut resource.body {
-            service.epoch = match former {
-                Some(Body::Service(former)) => former.epoch,
-                _ => revision,
+            (service.epoch, service.home_epoch) = match former {
+                Some(Body::Service(former)) => (former.epoch, former.home_epoch),
+                _ => (revision, revision),
             };
         }
         if let (Some(Body::Route(route)), Some(Body::Route(former))) = (&mut resource.body, former)
@@ -319,11 +336,25 @@
 
     /// Records a change of a service's members at `revision`.
     fn record_member_change(&mut self, service: &str, revision: u64) {
-        let Some(mut resource) = self.store.get(Kind::Service, service).cloned() else {
+        self.update_service(service, revision, |body| body.epoch = revision);
+    }
+
+    /// Records which groups have other homes since the last applied command.
+    fn record_home_changes(&mut self) {
+        let homes = Homes::new(&self.store);
+        let revision = self.store.revision();
+        for service in homes.changed_services(&self.homes) {
+            self.update_service(&service, revision, |body| body.home_epoch = revision);
+        }
+        self.homes = homes;
+    }
+
+    fn update_service(&mut self, name: &str, revision: u64, update: impl FnOnce(&mut Service)) {
+        let Some(mut resource) = self.store.get(Kind::Service, name).cloned() else {
             return;
         };
         if let Some(Body::Service(body)) = &mut resource.body {
-            body.epoch = revision;
+            update(body);
         }
         resource.revision = revision;
         self.store.put(resource);
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -228,6 +228,12 @@
         let members = groups.members();
         for (group, mut pool) in pools {
             pool.members.sort_unstable_by_key(|member| member.vm);
+            pool.homes = Pool::select_homes(&pool.members);
+            // Agents of earlier versions report to all members at each change, and control VMs of
+            // earlier versions do not record changes of the homes.
+            if pool.home_epoch == 0 || !Pool::has_bounded_homes(&pool.members) {
+                pool.home_epoch = pool.epoch;
+            }
             let pool = Arc::new(pool);
             for service in members.get(&group).into_iter().flatten() {
                 self.pools.insert(service.clone(), Arc::clone(&pool));
@@ -299,11 +305,14 @@
         };
         let pool = pools.entry(group.into()).or_insert_with(|| Pool {
             epoch: 0,
+            home_epoch: 0,
+            homes: Vec::new(),
             services: BTreeMap::new(),
             members: Vec::new(),
             out_members: Vec::new(),
         });
         pool.epoch = pool.epoch.max(service.epoch);
+        pool.home_epoch = pool.home_epoch.max(service.home_epoch);
         pool.services.insert(resource.name.as_str().into(), capacity(service));
     }
     pools
@@ -319,7 +328,7 @@
     }
 }
 
-fn member(name: &str, upstream: &resource::Upstream) -> Option<Member> {
+pub(super) fn member(name: &str, upstream: &resource::Upstream) -> Option<Member> {
     Some(Member {
         vm: vm::id(name),
         name: name.into(),
@@ -327,6 +336,8 @@
         domain: upstream.domain.as_str().into(),
         address: upstream.address.parse().ok()?,
         boot: upstream.boot,
+        incarnation: upstream.incarnation,
+        has_bounded_homes: upstream.bounded_homes,
         is_draining: upstream.state() == State::Draining,
     })
 }
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -77,6 +77,7 @@
             service: role.service.to_string(),
             address: link.local_addr()?.to_string(),
             boot: process_identity,
+            bounded_homes: true,
             ..resource::Upstream::default()
         }),
     };
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -49,6 +49,8 @@
     pub(super) home: vm::Id,
     /// Time for which the flow's first request may wait for a slot.
     pub(super) max_wait: Duration,
+    /// Whether the upstream takes the flow although it is ejected.
+    pub(super) needs_ejected: bool,
 }
 
 impl<C: PacketCodec> Worker<C> {
@@ -101,7 +103,11 @@
             return;
         };
         let flow = packet.inbound_flow();
-        let terms = Terms { home, max_wait: Duration::from_millis(offer.patience_ms.into()) };
+        let terms = Terms {
+            home,
+            max_wait: Duration::from_millis(offer.patience_ms.into()),
+            needs_ejected: offer.needs_ejected,
+        };
         let answer = match self.admit(terms, flow, &packet, &route, &offer.packet) {
             Ok(()) => {
                 let entry = decode_address(offer.entry_address, offer.entry_port);
@@ -184,8 +190,10 @@
         if !route.allows(&self.settings.service) {
             return Err(Reason::Inactive);
         }
-        let is_ejected = self.limit.is_ejected(now);
-        if is_ejected && !self.peers.needs_ejected(pool, &self.settings.service) {
+        // Homes of earlier versions do not say whether they need ejected upstreams.
+        let needs_ejected =
+            terms.needs_ejected || self.peers.needs_ejected(pool, &self.settings.service);
+        if self.limit.is_ejected(now) && !needs_ejected {
             return Err(Reason::Full);
         }
         let capacity = self.capacity();
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -9,8 +9,9 @@
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::Load;
 
-/// Silence after which a member is treated as gone or cut off. Members send two datagrams per
-/// second, so a reachable member is silent for this long only if its link loses most datagrams.
+/// Silence after which a home treats a member as gone or cut off. Members report their load to each
+/// home once per second, so a reachable member is silent for this long only if its link loses most
+/// datagrams.
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Time in which an upstream answers as many requests as its weight, which is in thousandths of a
--- a/crates/hyssopdyked/src/agent/peers_tests.rs
+++ b/crates/hyssopdyked/src/agent/peers_tests.rs
@@ -19,13 +19,22 @@
         domain: "d".into(),
         address: ([10, 0, 0, vm as u8], 5556).into(),
         boot: vm,
+        incarnation: 1,
+        has_bounded_homes: true,
         is_draining: false,
     }
 }
 
 fn pool() -> Pool {
     let members = vec![member(1, "a"), member(2, "a"), member(3, "b")];
-    Pool { epoch: 1, services: BTreeMap::new(), members, out_members: vec![member(4, "a")] }
+    Pool {
+        epoch: 1,
+        home_epoch: 1,
+        homes: vec![1, 2, 3],
+        services: BTreeMap::new(),
+        members,
+        out_members: vec![member(4, "a")],
+    }
 }
 
 fn ids(candidates: &[Candidate]) -> Vec<u64> {
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -153,12 +153,21 @@
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         let Some(to) = offer.candidate else { return };
         let (entry_address, entry_port) = offer.entry.map_or((0, 0), encode_address);
-        let patience_ms = max_wait(offer, route).as_millis() as u32;
-        let packet = offer.packet.clone();
-        self.send(
-            to,
-            Body::Offer(datagram::Offer { packet, entry_address, entry_port, patience_ms }),
-        );
+        let offer = datagram::Offer {
+            packet: offer.packet.clone(),
+            entry_address,
+            entry_port,
+            patience_ms: max_wait(offer, route).as_millis() as u32,
+            needs_ejected: self.needs_ejected(to),
+        };
+        self.send(to, Body::Offer(offer));
+    }
+
+    /// Returns whether ejected upstreams of a member's service must take flows.
+    fn needs_ejected(&self, vm: vm::Id) -> bool {
+        let Some(pool) = &self.pool else { return false };
+        let member = pool.member(vm);
+        member.is_some_and(|member| self.peers.needs_ejected(pool, &member.service))
     }
 
     /// Offers a flow to this agent's own upstream. Returns true if no other member needs to be
@@ -171,7 +180,11 @@
             self.directory.remove(&flow);
             return true;
         };
-        let terms = Terms { home: self.own_id, max_wait: max_wait(&offer, &route) };
+        let terms = Terms {
+            home: self.own_id,
+            max_wait: max_wait(&offer, &route),
+            needs_ejected: self.needs_ejected(self.own_id),
+        };
         let is_admitted = self.admit(terms, flow, &packet, &route, &bytes).is_ok();
         if is_admitted {
             self.notify_entry(&flow, entry);
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -1,10 +1,10 @@
 //! Reports between the members of a service, which give the home of each flow a record of it.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyssopdyke::connection::{self, Flow};
-use hyssopdyke::process::Barrier;
+use hyssopdyke::process::Due;
 use hyssopdyke::request::PacketCodec;
 use hyssopdyke::version::{Member, Pool};
 use hyssopdyke::vm;
@@ -18,76 +18,110 @@
 /// Maximum number of records in one report, so that the report fits into a datagram.
 const MAX_RECORDS_PER_REPORT: usize = 24;
 
+/// Time after a change of the homes for which a member keeps the records that others keep now, in
+/// case the new homes or the owners are lost before they have reported.
+const MOVED_RECORD_RETENTION: Duration = Duration::from_secs(10);
+
 impl<C: PacketCodec> Worker<C> {
-    /// Returns whether every other member has reported the flows whose home is this agent.
+    /// Returns whether every other member has reported the flows whose home is this agent, since
+    /// this agent became a home or the homes changed.
+    ///
+    /// Members that join later owe it nothing: it has placed their flows itself, or holds their
+    /// records.
     fn has_all_flow_reports(&self) -> bool {
-        self.has_all_record_reports() && self.is_barrier_complete(&self.owned_barrier)
+        let Some(epoch) = self.report_epoch() else { return false };
+        self.settled_epoch == Some(epoch)
+            || self.has_all_record_reports()
+                && self.owned_barrier.is_complete(epoch, self.other_members())
     }
 
     /// Returns whether every other member has reported its records of this agent's flows.
     fn has_all_record_reports(&self) -> bool {
-        self.is_barrier_complete(&self.records_barrier)
+        let epoch = self.report_epoch();
+        epoch.is_some_and(|epoch| {
+            self.records_barrier.is_complete_since(epoch, self.other_members())
+        })
     }
 
     /// Returns whether all required reports have arrived, so that a flow in no table of this agent
     /// is one that no member has reported.
     pub(super) fn has_required_reports(&self, now: Instant) -> bool {
-        if C::CAN_RESET_OPEN_FLOWS {
-            self.has_all_flow_reports()
-        } else {
-            self.has_reachable_flow_reports(now)
-        }
+        self.has_all_flow_reports()
+            || !C::CAN_RESET_OPEN_FLOWS && self.has_reachable_flow_reports(now)
     }
 
     /// Returns whether all reachable agents have reported their flows, including those in failure
     /// domains that are out.
     fn has_reachable_flow_reports(&self, now: Instant) -> bool {
-        let Some(pool) = &self.pool else { return false };
+        let (Some(pool), Some(epoch)) = (&self.pool, self.report_epoch()) else { return false };
         let reachable = self.peers.reachable_members(pool, self.own_id, now);
-        self.owned_barrier.is_complete(pool.epoch, reachable.filter(|vm| *vm != self.own_id))
+        self.owned_barrier.is_complete(epoch, reachable.filter(|vm| *vm != self.own_id))
     }
 
-    fn is_barrier_complete(&self, barrier: &Barrier) -> bool {
-        let Some(pool) = &self.pool else {
-            return false;
-        };
-        let others = pool.members.iter().map(|member| member.vm).filter(|vm| *vm != self.own_id);
-        barrier.is_complete(pool.epoch, others)
+    /// Returns the revision from which on this agent needs the reports of the other members.
+    fn report_epoch(&self) -> Option<u64> {
+        self.pool.as_ref()?.report_epoch(self.own_id)
     }
 
-    /// Applies a new membership epoch, and reports all flows again since homes have moved.
-    pub(super) fn handle_epoch_change(&mut self, pool: &Pool) {
+    fn other_members(&self) -> impl Iterator<Item = vm::Id> {
+        let members = self.pool.iter().flat_map(|pool| &pool.members);
+        members.map(|member| member.vm).filter(|vm| *vm != self.own_id)
+    }
+
+    /// Applies a new membership epoch, and makes the reports that are due for it.
+    pub(super) fn handle_epoch_change(&mut self, pool: &Pool, is_home_change: bool) {
         self.peers.update_members(pool, clock::now());
         self.scheduler.retain(|vm| pool.member(vm).is_some());
-        self.records_barrier.retain(|vm| pool.member(vm).is_some());
-        self.owned_barrier.retain(|vm| pool.find(vm).is_some());
-        self.outbox.retain(|_, _| false);
-        self.pending_records.clear();
+        if let Some(epoch) = pool.report_epoch(self.own_id) {
+            self.owned_barrier.forget_before(epoch);
+        }
+        self.report_plan.retain(|vm| pool.member(vm).is_some());
+        self.outbox.retain(|to, report| is_needed(pool, to, report, is_home_change));
         self.searches.clear();
+        if is_home_change {
+            self.pending_records.clear();
+            self.prune_at = Some(clock::now() + MOVED_RECORD_RETENTION);
+        } else {
+            self.queue_lost_records(pool);
+        }
         self.mark_absent();
         if C::CAN_RESET_OPEN_FLOWS {
             self.directory.retain(|_, record| !is_owned_by(record, &pool.out_members));
         }
-        if !self.is_member {
-            // Homes have also moved for the flows that a former member still serves.
-            return self.queue_owned_flows(pool);
-        }
-        let own_id = self.own_id;
-        for member in pool.members.iter().filter(|member| member.vm != own_id) {
-            let records = self.records_for(pool, member.vm);
-            self.queue_full_report(pool, member.vm, Stage::Records, &records);
-        }
+        // A former member queues its reports as well, and sends them once it is a member again.
         if !self.is_recovering {
             self.queue_owned_flows(pool);
         }
-        if self.is_leaving {
+        for Due { to, epoch } in self.report_plan.take_due_records(pool, self.own_id) {
+            let records = self.records_for(pool, to);
+            self.queue_full_report(to, epoch, Stage::Records, &records);
+        }
+        if self.is_member && self.is_leaving && is_home_change {
             self.queue_final_reports();
         }
-        self.is_prune_pending = true;
         self.resume_after_report();
     }
 
-    /// Queues reports of all records to every other member before this agent stops.
+    /// Queues the records of flows whose owner has just left, and whose home may not have them yet
+    /// since a recent change of the homes.
+    fn queue_lost_records(&mut self, pool: &Pool) {
+        let own_id = self.own_id;
+        let lost = self.directory.iter().filter_map(|(flow, record)| match record {
+            connection::Record::Owned { owner, isn, absent_since: None }
+                if pool.find(*owner).is_none() =>
+            {
+                let home = pool.top_two(self.hash(flow)).0.filter(|home| *home != own_id)?;
+                Some((home, wire_record(flow, *isn, *owner)))
+            }
+            _ => None,
+        });
+        let lost: Vec<(vm::Id, Record)> = lost.collect();
+        for (home, record) in lost {
+            self.pending_records.entry(home).or_default().opened.push(record);
+        }
+    }
+
+    /// Queues reports of all records to every home before this agent stops.
     ///
     /// Several agents may stop at the same time, among them a flow's owner and the holder of its
     /// record.
@@ -101,10 +135,10 @@
         });
         let records: Vec<Record> = owned.chain(recorded).collect();
         let own_id = self.own_id;
-        for member in pool.members.iter().filter(|member| member.vm != own_id) {
+        for home in pool.homes.iter().copied().filter(|home| *home != own_id) {
             for chunk in records.chunks(MAX_RECORDS_PER_REPORT) {
                 let (epoch, opened) = (pool.epoch, chunk.to_vec());
-                self.outbox.push(member.vm, |sequence| Report {
+                self.outbox.push(home, |sequence| Report {
                     sequence,
                     epoch,
                     opened,
@@ -114,14 +148,16 @@
         }
     }
 
-    /// Drops the records of other agents' flows that other members keep, once these members have
-    /// them.
+    /// Drops the records of other agents' flows that other members keep, some time after the homes
+    /// have changed.
     pub(super) fn prune_directory(&mut self) {
         let Some(pool) = self.pool.clone() else { return };
-        if !self.is_prune_pending || !self.outbox.is_empty() || !self.has_all_flow_reports() {
+        let is_due = self.prune_at.is_some_and(|at| clock::now() >= at);
+        let is_settled = !pool.is_home(self.own_id) || self.has_all_flow_reports();
+        if !is_due || !is_settled || !self.outbox.is_empty() {
             return;
         }
-        self.is_prune_pending = false;
+        self.prune_at = None;
         let (own_id, keys) = (self.own_id, self.flow_hash_keys);
         self.directory.retain(|flow, record| match record {
             connection::Record::Owned { owner, absent_since: None, .. } => {
@@ -131,25 +167,25 @@
         });
     }
 
-    /// Queues reports of this agent's flows to the members that keep records of them.
+    /// Queues reports of this agent's flows to the homes that need them.
     fn queue_owned_flows(&mut self, pool: &Pool) {
         let own_id = self.own_id;
-        for member in pool.members.iter().filter(|member| member.vm != own_id) {
+        for Due { to, epoch } in self.report_plan.take_due_owned(pool, own_id) {
             let owned = self.table.iter().filter(|(flow, state)| {
-                !state.is_closed() && pool.is_record_holder(self.hash(flow), own_id, member.vm)
+                !state.is_closed() && pool.is_record_holder(self.hash(flow), own_id, to)
             });
             let owned: Vec<Record> =
                 owned.map(|(flow, state)| self.record(flow, state.isn)).collect();
-            self.queue_full_report(pool, member.vm, Stage::Own, &owned);
+            self.queue_full_report(to, epoch, Stage::Own, &owned);
         }
     }
 
-    fn queue_full_report(&mut self, pool: &Pool, to: vm::Id, stage: Stage, records: &[Record]) {
+    fn queue_full_report(&mut self, to: vm::Id, epoch: u64, stage: Stage, records: &[Record]) {
         let parts = records.len().div_ceil(MAX_RECORDS_PER_REPORT).max(1) as u32;
         let mut chunks = records.chunks(MAX_RECORDS_PER_REPORT);
         for part in 0..parts {
             let opened = chunks.next().unwrap_or_default().to_vec();
-            let (epoch, stage) = (pool.epoch, stage as i32);
+            let stage = stage as i32;
             self.outbox.push(to, |sequence| Report {
                 sequence,
                 epoch,
@@ -248,13 +284,14 @@
         let Some(pool) = self.pool.clone() else {
             return;
         };
-        // The sender retries a report for a membership that this agent does not have yet.
-        if report.parts > 0 && report.epoch != pool.epoch {
+        // The sender retries a report for homes that this agent does not know yet.
+        let due = Due { to: self.own_id, epoch: report.epoch };
+        if report.parts > 0 && !due.is_expected(&pool, report.stage()) {
             return self.metrics.count("dropped.epoch");
         }
         if report.parts == 0 && self.is_final_report(&pool, report) {
-            // Records from a leaving member are kept until the members have changed.
-            self.is_prune_pending = false;
+            // Records from a leaving member are kept until the homes have changed.
+            self.prune_at = None;
         }
         for record in &report.opened {
             self.apply_record(&pool, record);
@@ -325,6 +362,9 @@
         if !self.is_member || !self.has_all_record_reports() {
             return;
         }
+        if self.has_all_flow_reports() {
+            self.settled_epoch = self.report_epoch();
+        }
         if self.is_recovering {
             self.is_recovering = false;
             info!(self.events.logger(), "flows taken over"; "flows" => self.table.len());
@@ -357,6 +397,15 @@
         if members.iter().any(|member| member.vm == *owner))
 }
 
+/// Returns whether a report that was queued before a change of members is still needed.
+fn is_needed(pool: &Pool, to: vm::Id, report: &Report, is_home_change: bool) -> bool {
+    if report.parts > 0 {
+        return Due { to, epoch: report.epoch }.is_needed(pool, report.stage());
+    }
+    // Full reports replace those of single flows when the homes change.
+    !is_home_change && pool.member(to).is_some()
+}
+
 /// Builds the record of a flow for a report.
 fn wire_record(flow: &Flow, isn: u32, owner: vm::Id) -> Record {
     Record { flow: Some((*flow).into()), isn, owner }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Searches, Table};
-use hyssopdyke::process::{Barrier, Limit, Outbox, Upstream, WarmupLimiter};
+use hyssopdyke::process::{Barrier, Limit, Outbox, ReportPlan, Upstream, WarmupLimiter};
 use hyssopdyke::request::{Packet, PacketCodec, Scheduler};
 use hyssopdyke::version::{Pool, Route};
 use hyssopdyke::vm;
@@ -98,8 +98,8 @@
     pub(super) is_domain_out: bool,
     /// Whether the agent is leaving the membership and takes no new flows.
     pub(super) is_leaving: bool,
-    /// Whether the directory may have records that other members keep.
-    pub(super) is_prune_pending: bool,
+    /// When to drop the records that other members keep.
+    pub(super) prune_at: Option<Instant>,
     /// Whether the process still waits for the reports of the flows that its upstream holds.
     pub(super) is_recovering: bool,
     pub(super) peers: Peers,
@@ -122,6 +122,10 @@
     pub(super) records_barrier: Barrier,
     /// Members that have reported their own flows.
     pub(super) owned_barrier: Barrier,
+    /// Full reports that were made to the other members.
+    pub(super) report_plan: ReportPlan,
+    /// Revision from which on this home needed the flows of all members, once all have reported.
+    pub(super) settled_epoch: Option<u64>,
     pub(super) outbox: Outbox<Report>,
     pub(super) pending_records: HashMap<vm::Id, PendingRecords>,
     pub(super) held_packets: VecDeque<(Forward, SocketAddr)>,
@@ -166,7 +170,7 @@
             is_member: false,
             is_domain_out: false,
             is_leaving: false,
-            is_prune_pending: false,
+            prune_at: None,
             is_recovering: true,
             peers: Peers::default(),
             table: Table::new(),
@@ -179,6 +183,8 @@
             upstream_searches: HashMap::new(),
             records_barrier: Barrier::new(),
             owned_barrier: Barrier::new(),
+            report_plan: ReportPlan::new(),
+            settled_epoch: None,
             outbox: Outbox::new(REPORT_RETRY_INTERVAL, MAX_UNACKNOWLEDGED_REPORTS),
             pending_records: HashMap::new(),
             held_packets: VecDeque::new(),
@@ -355,8 +361,10 @@
                 if let (Some(vm), Some(load)) = (self.peers.id(from), ping.load) {
                     self.peers.record_load(vm, load);
                 }
-                let answer = self.membership.answer_ping(ping, clock::now());
-                self.send_to(from, Body::Pong(answer));
+                if ping.nonce != 0 || revision < self.membership.revision() {
+                    let answer = self.membership.answer_ping(ping, clock::now());
+                    self.send_to(from, Body::Pong(answer));
+                }
             }
             Some(Body::Pong(pong)) => self.membership.receive_pong(from, revision, pong),
             Some(Body::Pull(pull)) => self.membership.answer_pull(&mut self.link, from, pull),
@@ -465,12 +473,23 @@
             return;
         };
         self.apply_declared_limit();
-        let former_epoch = former.map_or(0, |former| former.epoch);
-        if pool.epoch != former_epoch {
-            info!(self.events.logger(), "members changed"; "epoch" => pool.epoch,
-                "members" => pool.members.len(), "is_member" => self.is_member);
-            self.handle_epoch_change(&pool);
+        if former.as_ref().is_some_and(|former| former.epoch == pool.epoch) {
+            return;
         }
+        info!(self.events.logger(), "members changed"; "epoch" => pool.epoch,
+            "home_epoch" => pool.home_epoch, "members" => pool.members.len(),
+            "is_member" => self.is_member, "is_home" => pool.is_home(self.own_id));
+        let incarnation = |pool: &Pool| pool.find(self.own_id).map(|member| member.incarnation);
+        let former_incarnation = former.as_deref().and_then(incarnation);
+        if incarnation(&pool) != former_incarnation {
+            // Others may have left and joined meanwhile, so that all reports are made again.
+            self.report_plan.clear();
+            self.outbox.retain(|_, report| report.parts == 0);
+        }
+        let is_home_change = former.is_none_or(|former| {
+            former.home_epoch != pool.home_epoch || former.homes != pool.homes
+        });
+        self.handle_epoch_change(&pool, is_home_change);
     }
 
     fn tick(&mut self) {
@@ -507,6 +526,7 @@
         }
     }
 
+    /// Reports the upstream's load to the homes, which place the new flows.
     pub(super) fn exchange_loads(&mut self, now: Instant) {
         self.update_readiness(now);
         let Some(pool) = self.pool.clone() else {
@@ -515,9 +535,9 @@
         let load = self.current_load(now);
         self.peers.record_load(self.own_id, load);
         let own_id = self.own_id;
-        for member in pool.all_members().filter(|member| member.vm != own_id) {
-            let ping = self.membership.new_ping(Some(load), now);
-            self.send_to(member.address, Body::Ping(ping));
+        for home in pool.homes.iter().copied().filter(|home| *home != own_id) {
+            let ping = self.membership.new_load_ping(load, now);
+            self.send(home, Body::Ping(ping));
         }
         self.membership.ping_peers(&mut self.link, now);
     }
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -457,7 +457,7 @@
     let mut harness = Harness::open().await;
     let flow = harness.flow(harness.port_at_home(Harness::id(1)));
     harness.worker.outbox.retain(|_, _| false);
-    harness.worker.is_prune_pending = true;
+    harness.worker.prune_at = Some(clock::now());
     let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: Harness::id(0) };
     harness
         .send_from_peer(0, Body::Report(Report { opened: vec![record], ..Report::default() }))
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -174,9 +174,19 @@
         }
     }
 
+    /// Creates a report of the load. It asks for an answer only if the lease needs one, since
+    /// control has not renewed it recently.
+    pub(crate) fn new_load_ping(&mut self, load: Load, now: Instant) -> Ping {
+        if self.is_renewed(now) {
+            return Ping { nonce: 0, load: Some(load) };
+        }
+        self.new_ping(Some(load), now)
+    }
+
     /// Creates a ping with a new nonce, which the peer returns in its answer.
     pub(crate) fn new_ping(&mut self, load: Option<Load>, now: Instant) -> Ping {
-        self.nonce = self.nonce.wrapping_add(1);
+        // 0 stands for a ping without an answer.
+        self.nonce = self.nonce.checked_add(1).unwrap_or(1);
         self.lease.record_ping(self.nonce, now);
         Ping { nonce: self.nonce, load }
     }
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -217,6 +217,7 @@
             boot: upstream + 1,
             incarnation: 1,
             state: State::Active as i32,
+            bounded_homes: true,
         };
         put(format!("upstream-{upstream}"), Body::Upstream(body));
     }
