feat(entry,agent): packets that arrive before a process may act are held

Change: a new process holds at most 256 packets for at most 1 s until it may act for the first time. A process that was suspended drops them as before, since they are stale. An entry suspects a home only once it has itself been forwarding for the time between two copies.

--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hyssopdyke::process::{
-    Barrier, Change, EventLimiter, Lease, Limit, Outbox, Phase, Queued, Reachability, Shaper,
-    Suspects, Upstream, UpstreamReport, WarmupLimiter,
+    Barrier, Change, EventLimiter, HoldQueue, Lease, Limit, Outbox, Phase, Queued, Reachability,
+    Shaper, Suspects, Upstream, UpstreamReport, WarmupLimiter,
 };
 use hyssopdyke::request::{Candidate, Scheduler, Segment};
 use rand::SeedableRng;
@@ -492,3 +492,14 @@
     assert!(!lease.is_renewed_within(2 * SECOND, start + 2 * SECOND));
     assert!(lease.is_valid(start + 2 * SECOND));
 }
+
+#[test]
+fn hold_queue_expired_and_full() {
+    let start = Instant::now();
+    let mut queue = HoldQueue::new(2, 100 * MILLI);
+    assert_eq!(queue.push(1, start), None);
+    assert_eq!(queue.push(2, start + 60 * MILLI), None);
+    assert_eq!(queue.push(3, start + 70 * MILLI), Some(1), "the oldest makes room");
+    assert_eq!(queue.take(start + 165 * MILLI), [3], "the second has expired");
+    assert!(queue.is_empty());
+}
--- a/crates/hyssopdyke/tests/reports.rs
+++ b/crates/hyssopdyke/tests/reports.rs
@@ -143,7 +143,7 @@
         let mut group = Group::default();
         group.apply(&control.pool());
         let homes = control.pool().homes.clone();
-        let joining = (size..).find(|index| {
+        let joining = (size..size + 100).find(|index| {
             let mut next = Control::with_members(size);
             next.register(*index);
             next.pool().homes == homes
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Searches, Table};
-use hyssopdyke::process::{Barrier, Limit, Outbox, ReportPlan, Upstream, WarmupLimiter};
+use hyssopdyke::process::{Barrier, HoldQueue, Limit, Outbox, ReportPlan, Upstream, WarmupLimiter};
 use hyssopdyke::request::{Packet, PacketCodec, Scheduler};
 use hyssopdyke::version::{Pool, Route};
 use hyssopdyke::vm;
@@ -45,6 +45,13 @@
 /// Maximum number of packets held until the reports of other members arrive.
 const MAX_HELD_PACKETS: usize = 512;
 
+/// Maximum number of packets held until a new process may act.
+const MAX_EARLY_PACKETS: usize = 256;
+
+/// Maximum time for which a packet is held until a new process may act: shorter than the time for
+/// which callers wait for the answer to a first packet.
+const MAX_EARLY_TIME: Duration = Duration::from_secs(1);
+
 /// Interval between transmissions of an unacknowledged report.
 const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -129,6 +136,9 @@
     pub(super) outbox: Outbox<Report>,
     pub(super) pending_records: HashMap<vm::Id, PendingRecords>,
     pub(super) held_packets: VecDeque<(Forward, SocketAddr)>,
+    /// Packets that arrived before the process was allowed to act for the first time; `None` since
+    /// then.
+    early_packets: Option<HoldQueue<(Forward, SocketAddr)>>,
     /// Homes whose offers were declined because the upstream was full, with the time of declining.
     pub(super) waiting_homes: VecDeque<(vm::Id, Instant)>,
     pub(super) limit: Limit,
@@ -188,6 +198,7 @@
             outbox: Outbox::new(REPORT_RETRY_INTERVAL, MAX_UNACKNOWLEDGED_REPORTS),
             pending_records: HashMap::new(),
             held_packets: VecDeque::new(),
+            early_packets: Some(HoldQueue::new(MAX_EARLY_PACKETS, MAX_EARLY_TIME)),
             waiting_homes: VecDeque::new(),
             limit: Limit::new(1, 1),
             warmup_limiter: WarmupLimiter::new(),
@@ -382,7 +393,7 @@
     pub(super) fn handle_forward(&mut self, forward: Forward, from: SocketAddr) {
         let now = clock::now();
         if !self.may_serve_owned(now) {
-            return self.metrics.count("dropped.inactive");
+            return self.hold_early(forward, from, now);
         }
         let Some((packet, _)) = self.parse_routed(&forward.packet) else {
             return;
@@ -418,6 +429,24 @@
         }
     }
 
+    /// Holds a packet until the process may act for the first time, and drops it otherwise.
+    fn hold_early(&mut self, forward: Forward, from: SocketAddr, now: Instant) {
+        let held = self.early_packets.as_mut().map(|packets| packets.push((forward, from), now));
+        if held.is_none_or(|evicted| evicted.is_some()) {
+            self.metrics.count("dropped.inactive");
+        }
+    }
+
+    /// Handles the packets that arrived before the process may act, which it may now.
+    fn handle_early_packets(&mut self) {
+        let Some(mut packets) = self.early_packets.take() else { return };
+        let held = packets.take(clock::now());
+        info!(self.events.logger(), "serving starts"; "held_packets" => held.len());
+        for (forward, from) in held {
+            self.handle_forward(forward, from);
+        }
+    }
+
     /// Parses a caller's packet and finds its route. Returns `None` if the packet is malformed or
     /// no route of the agent's service matches.
     pub(super) fn parse_routed(&mut self, bytes: &Bytes) -> Option<(Packet, Arc<Route>)> {
@@ -493,12 +522,14 @@
     }
 
     fn tick(&mut self) {
+        self.update_readiness(clock::now());
         self.check_opening(clock::now());
         self.release_unconfirmed(clock::now());
         self.flush_pending_records();
         self.send_reports();
         self.prune_directory();
         if self.may_act(clock::now()) {
+            self.handle_early_packets();
             self.process_held_packets();
             self.retry_offers();
         }
@@ -528,7 +559,6 @@
 
     /// Reports the upstream's load to the homes, which place the new flows.
     pub(super) fn exchange_loads(&mut self, now: Instant) {
-        self.update_readiness(now);
         let Some(pool) = self.pool.clone() else {
             return;
         };
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -8,7 +8,7 @@
 use hyssopdyke::version::Store;
 use hyssopdyke_platform::PlatformCodec;
 use hyssopdyke_wire::datagram::{
-    Datagram, Forward, Offer, Owner, Report, Stage, Unknown, datagram::Body,
+    Datagram, Forward, Offer, Owner, Ping, Report, Stage, Unknown, datagram::Body,
 };
 use hyssopdyke_wire::resource::{
     self, Class, Listener, Protocol, Resource, Route, Service, Split, resource::Body as Kind,
@@ -230,6 +230,16 @@
         timeout(ARRIVAL_TIMEOUT, wanted).await.unwrap()
     }
 
+    /// Applies a change of the members that moves no home.
+    fn change_members(&mut self, change: impl FnOnce(&mut Pool)) {
+        let mut pool = Pool::clone(self.worker.pool.as_ref().unwrap());
+        pool.epoch += 1;
+        change(&mut pool);
+        let pool = Arc::new(pool);
+        self.worker.pool = Some(Arc::clone(&pool));
+        self.worker.handle_epoch_change(&pool, false);
+    }
+
     /// Discards everything that the agent has sent so far.
     async fn drain(&mut self) {
         let mut bytes = [0; 2048];
@@ -468,3 +478,96 @@
         "the record of a leaving member was dropped"
     );
 }
+
+#[tokio::test]
+async fn join_settled_home() {
+    // A member joins and has not reported yet. The homes are the same, so that a packet of an
+    // unknown flow is searched at once instead of held until the new member has reported.
+    let mut harness = Harness::open().await;
+    harness.change_members(|pool| {
+        let mut joined = pool.members[0].clone();
+        joined.vm = u64::MAX;
+        joined.incarnation = pool.epoch;
+        pool.members.push(joined);
+    });
+    let port = harness.port_at_home(vm::id("vm-0"));
+    let packet = harness.request(port, UPSTREAM_ISN);
+    harness.send_from_peer(0, forward(packet)).await;
+    assert!(harness.worker.held_packets.is_empty());
+    harness.receive_at_peer(1, search_request).await;
+}
+
+#[tokio::test]
+async fn leave_moved_record() {
+    // This agent still has the record of a flow whose home is another member since the homes have
+    // changed. The owner leaves before it has reported the flow there.
+    let mut harness = Harness::open().await;
+    let (home, owner) = (Harness::id(0), Harness::id(1));
+    let flow = harness.flow(harness.port_at_home(home));
+    harness.worker.directory.record_owner(flow, owner, CALLER_ISN);
+    harness.change_members(|pool| pool.members.retain(|member| member.vm != owner));
+    harness.worker.tick();
+    let report = harness
+        .receive_at_peer(0, |body| match body {
+            Body::Report(report) if report.parts == 0 => Some(report),
+            _ => None,
+        })
+        .await;
+    assert_eq!(report.opened, [Record { flow: Some(flow.into()), isn: CALLER_ISN, owner }]);
+}
+
+#[tokio::test]
+async fn forward_before_membership() {
+    // After a loss of power, the first packet of a caller arrives before the agent is a member. It
+    // is placed as soon as the agent may act, not when the caller sends a copy.
+    let mut harness = Harness::open().await;
+    harness.worker.early_packets = Some(HoldQueue::new(8, Duration::from_mins(1)));
+    harness.worker.is_member = false;
+    let port = harness.port_at_home(vm::id("vm-0"));
+    let (packet, _) = harness.packet(port, CALLER_ISN, 0, SYN, b"");
+    harness.send_from_peer(0, forward(packet)).await;
+    harness.worker.tick();
+    assert!(Harness::is_silent(&harness.upstream).await);
+    harness.worker.is_member = true;
+    harness.worker.tick();
+    assert!(harness.worker.directory.get(&harness.flow(port)).is_some());
+    // Later packets of a process that may not act are stale: it was suspended.
+    assert!(harness.worker.early_packets.is_none());
+}
+
+#[tokio::test]
+async fn load_ping_current_and_behind() {
+    // A report of the load needs no answer, unless its sender has missed a revision.
+    let mut harness = Harness::open().await;
+    let is_pong = |body| matches!(body, Body::Pong(_)).then_some(());
+    let ping = Body::Ping(Ping { nonce: 0, load: Some(Load::default()) });
+    harness.send_from_peer(0, ping.clone()).await;
+    let answer = harness.receive_at_peer(0, is_pong);
+    assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "an answer that nobody needs");
+    let to = harness.worker.link.local_addr().unwrap();
+    let behind = Datagram { revision: 1, body: Some(ping) };
+    assert!(harness.peers[0].send(&behind, to));
+    timeout(ARRIVAL_TIMEOUT, harness.worker.link.readable()).await.unwrap().unwrap();
+    harness.worker.receive_datagrams().unwrap();
+    harness.receive_at_peer(0, is_pong).await;
+}
+
+#[tokio::test]
+async fn offer_ejected_upstream() {
+    // Only homes know how many upstreams are ejected. An ejected upstream takes a flow if its home
+    // says that too few others are left.
+    for needs_ejected in [false, true] {
+        let mut harness = Harness::open().await;
+        let now = clock::now();
+        for failure in 0..20 {
+            let at = now + Duration::from_millis(failure);
+            harness.worker.limit.record_failure(at, at);
+        }
+        assert!(harness.worker.limit.is_ejected(clock::now()));
+        let port = harness.port_at_home(Harness::id(0));
+        let (packet, _) = harness.packet(port, CALLER_ISN, 0, SYN, b"");
+        let offer = Offer { packet, patience_ms: 1000, needs_ejected, ..Offer::default() };
+        harness.send_from_peer(0, Body::Offer(offer)).await;
+        assert_eq!(harness.worker.table.is_empty(), !needs_ejected);
+    }
+}
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Cache, Flow};
-use hyssopdyke::process::{Queued, Reachability, Shaper, Suspects};
+use hyssopdyke::process::{HoldQueue, Queued, Reachability, Shaper, Suspects};
 use hyssopdyke::request::{Packet, PacketCodec};
 use hyssopdyke::version::{Member, Pool, Route};
 use hyssopdyke::vm;
@@ -30,6 +30,16 @@
 /// Maximum number of datagrams to read from a socket before the others are polled.
 const MAX_BATCH_DATAGRAMS: usize = 64;
 
+/// Maximum number of packets held until a new process may act.
+const MAX_HELD_PACKETS: usize = 256;
+
+/// Maximum time for which a packet is held: shorter than the time for which callers wait for the
+/// answer to a first packet.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
+
+/// Maximum time between two copies of a first packet from the same caller.
+const COPY_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Interval between flushes of the metrics and pings to peers.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -76,6 +86,10 @@
     metrics: Metrics,
     cache: Cache,
     suspects: Suspects,
+    /// Packets that arrived before the process was allowed to act for the first time.
+    held_packets: HoldQueue<Bytes>,
+    /// When the process was allowed to act for the first time.
+    acting_since: Option<Instant>,
     /// Whether messages arrive from other failure domains.
     reachability: Reachability,
     /// Queue of packets for the VM's link, if its rate is set.
@@ -113,6 +127,8 @@
             metrics,
             cache,
             suspects: Suspects::new(),
+            held_packets: HoldQueue::new(MAX_HELD_PACKETS, MAX_HOLD_TIME),
+            acting_since: None,
             reachability: Reachability::new(clock::now()),
             shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT)),
             flow_hash_keys,
@@ -187,10 +203,25 @@
             _ = timers.reachability.tick() => self.check_reachability(),
             _ = timers.housekeeping.tick() => self.run_housekeeping(),
         }
+        self.start_acting();
         session.report(self.membership.revision(), Usage::default());
         Ok(())
     }
 
+    /// Forwards the held packets once the process may act for the first time.
+    fn start_acting(&mut self) {
+        let now = clock::now();
+        if self.acting_since.is_some() || !self.membership.may_act(now) {
+            return;
+        }
+        self.acting_since = Some(now);
+        let held = self.held_packets.take(now);
+        info!(self.events.logger(), "forwarding starts"; "held_packets" => held.len());
+        for packet in held {
+            self.shape(packet, now);
+        }
+    }
+
     /// Continues to forward until the fabric sends no more packets, for a graceful stop.
     ///
     /// # Errors
@@ -222,7 +253,7 @@
             self.last_packet_at = Some(now);
             if self.membership.may_act(now) {
                 self.shape(packet, now);
-            } else {
+            } else if self.acting_since.is_some() || self.held_packets.push(packet, now).is_some() {
                 self.metrics.count("dropped.inactive");
             }
         }
@@ -346,10 +377,13 @@
     /// Returns the member that places a new flow: its home, or the next in rank that is not
     /// suspected.
     ///
-    /// A retransmission of a flow's first packet means that the previous target has not answered.
+    /// A retransmission of a flow's first packet means that the previous target has not answered,
+    /// unless this entry did not forward the copy before.
     fn select_home(&mut self, pool: &Pool, hash: u64, copies: u32) -> Option<vm::Id> {
         let now = clock::now();
-        if copies > 0
+        let has_forwarded_copy = copies > 0
+            && self.acting_since.is_some_and(|since| now.duration_since(since) >= COPY_INTERVAL);
+        if has_forwarded_copy
             && let Some(last) = pool.fallback_home(hash, |vm| self.suspects.is_suspected(vm, now))
         {
             self.suspects.suspect(last, now);
