--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use eyre::Result;
-use hyssopdyke::connection::{Cache, Flow};
-use hyssopdyke::process::{Queued, Reachability, Shaper, Suspects};
+use hyssopdyke::connection::{Cache, Flow, Openings};
+use hyssopdyke::process::{HoldQueue, Queued, Reachability, Shaper, Suspects};
 use hyssopdyke::request::{Packet, PacketCodec};
 use hyssopdyke::version::{Member, Pool, Route};
 use hyssopdyke::vm;
@@ -30,6 +30,13 @@
 /// Maximum number of datagrams to read from a socket before the others are polled.
 const MAX_BATCH_DATAGRAMS: usize = 64;
 
+/// Maximum number of packets held until a new process may act.
+const MAX_HELD_PACKETS: usize = 256;
+
+/// Maximum time for which a packet is held: shorter than the time for which callers wait for the
+/// answer to a first packet.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
+
 /// Interval between flushes of the metrics and pings to peers.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -65,6 +72,8 @@
     packet: Packet,
     flow: Flow,
     hash: u64,
+    /// Time for which the packet was held until the process was allowed to act.
+    held: Duration,
 }
 
 /// The entry's sockets and state.
@@ -75,7 +84,12 @@
     membership: Membership,
     metrics: Metrics,
     cache: Cache,
+    openings: Openings,
     suspects: Suspects,
+    /// Packets that arrived before the process was allowed to act for the first time.
+    held_packets: HoldQueue<Bytes>,
+    /// When the process was allowed to act for the first time.
+    acting_since: Option<Instant>,
     /// Whether messages arrive from other failure domains.
     reachability: Reachability,
     /// Queue of packets for the VM's link, if its rate is set.
@@ -112,7 +126,10 @@
             membership,
             metrics,
             cache,
+            openings: Openings::new(),
             suspects: Suspects::new(),
+            held_packets: HoldQueue::new(MAX_HELD_PACKETS, MAX_HOLD_TIME),
+            acting_since: None,
             reachability: Reachability::new(clock::now()),
             shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT)),
             flow_hash_keys,
@@ -187,10 +204,25 @@
             _ = timers.reachability.tick() => self.check_reachability(),
             _ = timers.housekeeping.tick() => self.run_housekeeping(),
         }
+        self.start_acting();
         session.report(self.membership.revision(), Usage::default());
         Ok(())
     }
 
+    /// Forwards the held packets once the process may act for the first time.
+    fn start_acting(&mut self) {
+        let now = clock::now();
+        if self.acting_since.is_some() || !self.membership.may_act(now) {
+            return;
+        }
+        self.acting_since = Some(now);
+        let held = self.held_packets.take(now);
+        info!(self.events.logger(), "forwarding starts"; "held_packets" => held.len());
+        for (packet, held) in held {
+            self.shape(packet, held, now);
+        }
+    }
+
     /// Continues to forward until the fabric sends no more packets, for a graceful stop.
     ///
     /// # Errors
@@ -221,8 +253,8 @@
             let now = clock::now();
             self.last_packet_at = Some(now);
             if self.membership.may_act(now) {
-                self.shape(packet, now);
-            } else {
+                self.shape(packet, Duration::ZERO, now);
+            } else if self.acting_since.is_some() || self.held_packets.push(packet, now).is_some() {
                 self.metrics.count("dropped.inactive");
             }
         }
@@ -231,12 +263,12 @@
     }
 
     /// Forwards a packet at once, or queues it for the link.
-    fn shape(&mut self, bytes: Bytes, now: Instant) {
+    fn shape(&mut self, bytes: Bytes, held: Duration, now: Instant) {
         let Ok(packet) = self.codec.parse(&bytes) else {
             return self.metrics.count("dropped.malformed");
         };
         let flow = packet.inbound_flow();
-        let inbound = Inbound { bytes, packet, flow, hash: flow.hash(self.flow_hash_keys) };
+        let inbound = Inbound { bytes, packet, flow, hash: flow.hash(self.flow_hash_keys), held };
         let length = inbound.bytes.len();
         let Some(shaper) = &mut self.shaper else { return self.forward(inbound) };
         if shaper.try_pass(length, now) {
@@ -293,6 +325,7 @@
             entry_port,
             stand_in: is_fallback,
             search: false,
+            held_ms: inbound.held.as_millis() as u32,
         };
         let message = self.membership.message(Body::Forward(forward));
         self.metrics.count("forwarded");
@@ -333,7 +366,10 @@
     ) -> Option<(&'a Member, bool)> {
         let pool: &Pool = &route.pool;
         let (hash, copies) = (inbound.hash, inbound.packet.earlier_copies);
-        if let Some(owner) = self.cache.owner(hash).filter(|_| copies == 0)
+        let now = clock::now();
+        let is_usable =
+            copies == 0 || self.openings.is_handled(hash, self.copy_interval(copies), now);
+        if let Some(owner) = self.cache.owner(hash).filter(|_| is_usable)
             && let Some(owner) = pool.find(owner)
         {
             return Some((owner, false));
@@ -346,10 +382,11 @@
     /// Returns the member that places a new flow: its home, or the next in rank that is not
     /// suspected.
     ///
-    /// A retransmission of a flow's first packet means that the previous target has not answered.
+    /// A retransmission of a flow's first packet means that the previous target has not answered,
+    /// unless this entry did not forward the copy before.
     fn select_home(&mut self, pool: &Pool, hash: u64, copies: u32) -> Option<vm::Id> {
         let now = clock::now();
-        if copies > 0
+        if self.has_forwarded_copy(copies, now)
             && let Some(last) = pool.fallback_home(hash, |vm| self.suspects.is_suspected(vm, now))
         {
             self.suspects.suspect(last, now);
@@ -359,6 +396,19 @@
         pool.fallback_home(hash, |vm| self.suspects.is_suspected(vm, now))
     }
 
+    /// Returns whether this entry could already forward packets when the caller sent the copy before
+    /// the one that has arrived now.
+    fn has_forwarded_copy(&self, copies: u32, now: Instant) -> bool {
+        let interval = self.copy_interval(copies);
+        copies > 0 && self.acting_since.is_some_and(|since| now.duration_since(since) >= interval)
+    }
+
+    /// Returns the time between a copy of a first packet and the copy before.
+    fn copy_interval(&self, copies: u32) -> Duration {
+        let before = self.codec.copy_age(copies.saturating_sub(1));
+        self.codec.copy_age(copies).saturating_sub(before)
+    }
+
     fn receive_batch(&mut self) -> Result<()> {
         for _ in 0..MAX_BATCH_DATAGRAMS {
             let Some((result, from)) = self.link.try_recv()? else {
@@ -400,10 +450,11 @@
             return self.metrics.count("unexpected");
         };
         let hash = flow.hash(self.flow_hash_keys);
-        match owner.vm {
-            0 => self.cache.remove(hash),
-            vm => self.cache.insert(hash, vm),
+        if owner.vm == 0 {
+            return self.cache.remove(hash);
         }
+        self.openings.record(hash, owner.waiting, clock::now());
+        self.cache.insert(hash, owner.vm);
     }
 
     /// Pings suspected members to find out whether they answer again.
@@ -420,6 +471,7 @@
     fn run_housekeeping(&mut self) {
         self.events.log_suppressed();
         self.probe_suspects();
+        self.openings.expire(clock::now());
         self.membership.ping_peers(&mut self.link, clock::now());
         let queued_bytes = self.shaper.as_ref().map_or(0, Shaper::queued_bytes);
         self.metrics.set_gauge("waiting_bytes", queued_bytes as u64);
