fix(agent): members do not pass on copies of records

A leaving member sent all homes not only its records but also its copies of others', each change of the homes sent those of absent owners again from every holder, and copies were dropped only 10 s after the last such change, which never was over. The homes had no processor time left: offers unanswered, flows placed twice.

Change: a record is kept, moved (to another keeper, at a change of the homes) or handed over (by a leaving member). Copies end after 10 s each. A leaving member sends its own flows and what it keeps. Records of absent owners come from the keeper until now and from the second-ranked home only.

Test final_reports_without_copies fails without the change; prune_farewell also checks now that a copy ends.

--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -89,6 +89,17 @@
     }
 }
 
+/// Who keeps the record of a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Custody {
+    /// This process keeps the record.
+    Kept,
+    /// Another member keeps the record since the homes changed.
+    Moved(Instant),
+    /// Another member keeps the record; a member that was leaving has sent this copy.
+    HandedOver(Instant),
+}
+
 /// A home's record of a flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Record {
@@ -102,6 +113,8 @@
         isn: u32,
         /// Time since which the owner is not among the members.
         absent_since: Option<Instant>,
+        /// Whether this process keeps the record or has a copy of it.
+        custody: Custody,
     },
 }
 
@@ -149,13 +162,14 @@
         {
             return Some(*first);
         }
-        self.records.insert(flow, Record::Owned { owner, isn, absent_since: None });
+        self.confirm_owner(flow, owner, isn);
         None
     }
 
     /// Records that the caller of a flow continues with `owner`, replacing any other record.
     pub fn confirm_owner(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
-        self.records.insert(flow, Record::Owned { owner, isn, absent_since: None });
+        let (absent_since, custody) = (None, Custody::Kept);
+        self.records.insert(flow, Record::Owned { owner, isn, absent_since, custody });
     }
 
     /// Removes the record of a flow if it is owned by `owner`.
@@ -194,6 +208,37 @@
         });
     }
 
+    /// Marks the records as moved for which `is_keeper` returns false: it returns whether this
+    /// process keeps the record of a flow with a given owner.
+    pub fn mark_moved(&mut self, now: Instant, is_keeper: impl Fn(&Flow, vm::Id) -> bool) {
+        for (flow, record) in &mut self.records {
+            if let Record::Owned { owner, custody, .. } = record {
+                *custody = match *custody {
+                    _ if is_keeper(flow, *owner) => Custody::Kept,
+                    Custody::Kept => Custody::Moved(now),
+                    copy => copy,
+                };
+            }
+        }
+    }
+
+    /// Marks the record of a flow as a copy that a leaving member has handed over.
+    pub fn mark_handed_over(&mut self, flow: &Flow, now: Instant) {
+        if let Some(Record::Owned { custody, .. }) = self.records.get_mut(flow) {
+            *custody = Custody::HandedOver(now);
+        }
+    }
+
+    /// Removes the copies that are at least `timeout` old.
+    pub fn expire_copies(&mut self, now: Instant, timeout: Duration) {
+        self.records.retain(|_, record| match record {
+            Record::Owned {
+                custody: Custody::Moved(since) | Custody::HandedOver(since), ..
+            } => now.duration_since(*since) < timeout,
+            _ => true,
+        });
+    }
+
     /// Retains only the records for which `keep` returns true.
     pub fn retain(&mut self, keep: impl Fn(&Flow, &Record) -> bool) {
         self.records.retain(|flow, record| keep(flow, record));
--- a/crates/hyssopdyke/src/connection/mod.rs
+++ b/crates/hyssopdyke/src/connection/mod.rs
@@ -10,7 +10,7 @@
 mod table;
 
 pub use cache::Cache;
-pub use directory::{Directory, Offer, Record, Round};
+pub use directory::{Custody, Directory, Offer, Record, Round};
 pub use flow::{Error, Flow, Protocol};
 pub use openings::Openings;
 pub use search::Searches;
--- a/crates/hyssopdyke/src/process/outbox.rs
+++ b/crates/hyssopdyke/src/process/outbox.rs
@@ -10,8 +10,17 @@
     to: vm::Id,
     message: M,
     sent: Option<Instant>,
+    /// Time until the next transmission.
+    interval: Duration,
 }
 
+/// Factor by which the interval grows with each transmission, so that a receiver that is overloaded or
+/// gone does not get more and more messages.
+const BACKOFF: u32 = 2;
+
+/// Maximum interval, in multiples of the first one.
+const MAX_BACKOFF: u32 = 16;
+
 /// Unacknowledged messages by sequence number.
 #[derive(Debug)]
 pub struct Outbox<M> {
@@ -22,8 +31,8 @@
 }
 
 impl<M> Outbox<M> {
-    /// Creates an outbox that retransmits after `interval` and has at most `window` messages in
-    /// flight.
+    /// Creates an outbox that retransmits after `interval` at first, then less often, and has at most
+    /// `window` messages in flight.
     #[must_use]
     pub const fn new(interval: Duration, window: usize) -> Self {
         Self { next: 1, pending: BTreeMap::new(), interval, window }
@@ -33,7 +42,8 @@
     pub fn push(&mut self, to: vm::Id, message: impl FnOnce(u64) -> M) {
         let sequence = self.next;
         self.next += 1;
-        self.pending.insert(sequence, Pending { to, message: message(sequence), sent: None });
+        let (message, interval) = (message(sequence), self.interval);
+        self.pending.insert(sequence, Pending { to, message, sent: None, interval });
     }
 
     /// Removes an acknowledged message.
@@ -50,12 +60,15 @@
 
     /// Passes each message that is due to `send`, oldest first.
     pub fn send_due(&mut self, now: Instant, mut send: impl FnMut(vm::Id, &M)) {
-        let interval = self.interval;
+        let max_interval = self.interval * MAX_BACKOFF;
         for pending in self.pending.values_mut().take(self.window) {
-            if pending.sent.is_none_or(|sent| now.duration_since(sent) >= interval) {
-                pending.sent = Some(now);
-                send(pending.to, &pending.message);
+            match pending.sent {
+                Some(sent) if now.duration_since(sent) < pending.interval => continue,
+                Some(_) => pending.interval = (pending.interval * BACKOFF).min(max_interval),
+                None => {}
             }
+            pending.sent = Some(now);
+            send(pending.to, &pending.message);
         }
     }
 
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -209,6 +209,12 @@
     outbox.acknowledge(1, 1);
     assert_eq!(due(&mut outbox, start + 50 * MILLI), [(3, 3)]);
     assert_eq!(due(&mut outbox, start + 100 * MILLI), [(2, 2)]);
+    // Each further transmission comes later, so that silent receivers are not flooded.
+    outbox.acknowledge(3, 3);
+    assert_eq!(due(&mut outbox, start + 250 * MILLI), []);
+    assert_eq!(due(&mut outbox, start + 300 * MILLI), [(2, 2)]);
+    assert_eq!(due(&mut outbox, start + 600 * MILLI), []);
+    assert_eq!(due(&mut outbox, start + 700 * MILLI), [(2, 2)]);
 }
 
 #[test]
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -16,6 +16,10 @@
 /// the owner may return.
 const ABSENT_OWNER_RETENTION: Duration = Duration::from_secs(30);
 
+/// Time for which a member keeps copies of records that others keep since a change of the homes, or
+/// that a leaving member has sent, in case those are lost before they have reported.
+const COPY_RETENTION: Duration = Duration::from_secs(10);
+
 impl<C: PacketCodec> Worker<C> {
     /// Sends a packet to the owner of its flow, or finds an owner for a new flow.
     pub(super) fn handle_as_home(
@@ -27,7 +31,7 @@
     ) {
         let is_opening = packet.segment.is_none_or(|segment| segment.is_opening());
         match self.directory.get(&flow) {
-            Some(Record::Owned { owner, isn, absent_since }) => {
+            Some(Record::Owned { owner, isn, absent_since, .. }) => {
                 let (owner, isn, is_absent) = (*owner, *isn, absent_since.is_some());
                 if owner == self.own_id {
                     // The flow is closed here: otherwise this agent would already have delivered
@@ -96,8 +100,10 @@
         }
     }
 
-    /// Removes the records of flows whose owners did not return in time.
+    /// Removes the records of flows whose owners did not return in time, and old copies of records
+    /// that other members keep.
     pub(super) fn sweep_records(&mut self, now: Instant) {
         self.directory.expire_absent(now, ABSENT_OWNER_RETENTION);
+        self.directory.expire_copies(now, COPY_RETENTION);
     }
 }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -1,9 +1,9 @@
 //! Reports between the members of a service, which give the home of each flow a record of it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use hyssopdyke::connection::{self, Flow};
+use hyssopdyke::connection::{self, Custody, Flow};
 use hyssopdyke::process::Due;
 use hyssopdyke::request::PacketCodec;
 use hyssopdyke::version::{Member, Pool};
@@ -18,10 +18,6 @@
 /// Maximum number of records in one report, so that the report fits into a datagram.
 const MAX_RECORDS_PER_REPORT: usize = 24;
 
-/// Time after a change of the homes for which a member keeps the records that others keep now, in
-/// case the new homes or the owners are lost before they have reported.
-const MOVED_RECORD_RETENTION: Duration = Duration::from_secs(10);
-
 impl<C: PacketCodec> Worker<C> {
     /// Returns whether every other member has reported the flows whose home is this agent, since
     /// this agent became a home or the homes changed.
@@ -80,7 +76,6 @@
         self.searches.clear();
         if is_home_change {
             self.pending_records.clear();
-            self.prune_at = Some(clock::now() + MOVED_RECORD_RETENTION);
         } else {
             self.queue_lost_records(pool);
         }
@@ -96,6 +91,12 @@
             let records = self.records_for(pool, to);
             self.queue_full_report(to, epoch, Stage::Records, &records);
         }
+        if is_home_change {
+            let (own_id, keys) = (self.own_id, self.flow_hash_keys);
+            self.directory.mark_moved(clock::now(), |flow, owner| {
+                pool.is_record_holder(flow.hash(keys), owner, own_id)
+            });
+        }
         if self.is_member && self.is_leaving && is_home_change {
             self.queue_final_reports();
         }
@@ -107,9 +108,12 @@
     fn queue_lost_records(&mut self, pool: &Pool) {
         let own_id = self.own_id;
         let lost = self.directory.iter().filter_map(|(flow, record)| match record {
-            connection::Record::Owned { owner, isn, absent_since: None }
-                if pool.find(*owner).is_none() =>
-            {
+            connection::Record::Owned {
+                owner,
+                isn,
+                absent_since: None,
+                custody: Custody::Moved(_),
+            } if pool.find(*owner).is_none() => {
                 let home = pool.top_two(self.hash(flow)).0.filter(|home| *home != own_id)?;
                 Some((home, wire_record(flow, *isn, *owner)))
             }
@@ -130,8 +134,10 @@
         let owned = self.table.iter().filter(|(_, state)| !state.is_closed());
         let owned = owned.map(|(flow, state)| self.record(flow, state.isn));
         let recorded = self.directory.iter().filter_map(|(flow, record)| match record {
-            connection::Record::Owned { owner, isn, .. } => Some(wire_record(flow, *isn, *owner)),
-            connection::Record::Offered(_) => None,
+            connection::Record::Owned { owner, isn, custody: Custody::Kept, .. } => {
+                Some(wire_record(flow, *isn, *owner))
+            }
+            _ => None,
         });
         let records: Vec<Record> = owned.chain(recorded).collect();
         let own_id = self.own_id;
@@ -148,25 +154,6 @@
         }
     }
 
-    /// Drops the records of other agents' flows that other members keep, some time after the homes
-    /// have changed.
-    pub(super) fn prune_directory(&mut self) {
-        let Some(pool) = self.pool.clone() else { return };
-        let is_due = self.prune_at.is_some_and(|at| clock::now() >= at);
-        let is_settled = !pool.is_home(self.own_id) || self.has_all_flow_reports();
-        if !is_due || !is_settled || !self.outbox.is_empty() {
-            return;
-        }
-        self.prune_at = None;
-        let (own_id, keys) = (self.own_id, self.flow_hash_keys);
-        self.directory.retain(|flow, record| match record {
-            connection::Record::Owned { owner, absent_since: None, .. } => {
-                pool.is_record_holder(flow.hash(keys), *owner, own_id)
-            }
-            _ => true,
-        });
-    }
-
     /// Queues reports of this agent's flows to the homes that need them.
     fn queue_owned_flows(&mut self, pool: &Pool) {
         let own_id = self.own_id;
@@ -200,10 +187,15 @@
 
     /// Returns the records that a member needs besides those of this agent's flows: the flows that
     /// the member owns and may have lost, and the flows of absent owners whose home the member is.
+    ///
+    /// The latter come from the member that has kept the record until now, or from the second-ranked
+    /// home, which may have a copy from a member that has left.
     fn records_for(&self, pool: &Pool, to: vm::Id) -> Vec<Record> {
         let records = self.directory.iter().filter_map(|(flow, record)| match record {
-            connection::Record::Owned { owner, isn, absent_since } => {
-                let is_lost = absent_since.is_some() && pool.top_two(self.hash(flow)).0 == Some(to);
+            connection::Record::Owned { owner, isn, absent_since, custody } => {
+                let (first, second) = pool.top_two(self.hash(flow));
+                let is_sender = *custody == Custody::Kept || second == Some(self.own_id);
+                let is_lost = absent_since.is_some() && first == Some(to) && is_sender;
                 (*owner == to || is_lost).then(|| wire_record(flow, *isn, *owner))
             }
             connection::Record::Offered(_) => None,
@@ -289,10 +281,6 @@
         if report.parts > 0 && !due.is_expected(&pool, report.stage()) {
             return self.metrics.count("dropped.epoch");
         }
-        if report.parts == 0 && self.is_final_report(&pool, report) {
-            // Records from a leaving member are kept until the homes have changed.
-            self.prune_at = None;
-        }
         for record in &report.opened {
             self.apply_record(&pool, record);
         }
@@ -311,17 +299,6 @@
         self.resume_after_report();
     }
 
-    /// Returns whether a report has records that other members keep, as the final report of a
-    /// leaving member does.
-    fn is_final_report(&self, pool: &Pool, report: &Report) -> bool {
-        report.opened.iter().any(|record| {
-            let flow = Flow::try_from(record.flow.as_ref());
-            flow.is_ok_and(|flow| {
-                !pool.is_record_holder(self.hash(&flow), record.owner, self.own_id)
-            })
-        })
-    }
-
     fn apply_record(&mut self, pool: &Pool, record: &Record) {
         let Ok(flow) = Flow::try_from(record.flow.as_ref()) else {
             return self.metrics.count("unexpected");
@@ -335,8 +312,11 @@
             return;
         }
         self.record_owner(flow, record.owner, record.isn);
-        // The other records of a final report are kept until the members have changed: their owner,
-        // and the member that would keep them, may be about to stop as well.
+        if !pool.is_record_holder(self.hash(&flow), record.owner, self.own_id) {
+            // From the final report of a leaving member: the owner of the flow, and the member that
+            // would keep its record next, may be about to stop as well.
+            self.directory.mark_handed_over(&flow, clock::now());
+        }
         if pool.find(record.owner).is_none() {
             self.mark_absent();
         }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -105,8 +105,6 @@
     pub(super) is_domain_out: bool,
     /// Whether the agent is leaving the membership and takes no new flows.
     pub(super) is_leaving: bool,
-    /// When to drop the records that other members keep.
-    pub(super) prune_at: Option<Instant>,
     /// Whether the process still waits for the reports of the flows that its upstream holds.
     pub(super) is_recovering: bool,
     pub(super) peers: Peers,
@@ -180,7 +178,6 @@
             is_member: false,
             is_domain_out: false,
             is_leaving: false,
-            prune_at: None,
             is_recovering: true,
             peers: Peers::default(),
             table: Table::new(),
@@ -531,7 +528,6 @@
         self.release_unconfirmed(clock::now());
         self.flush_pending_records();
         self.send_reports();
-        self.prune_directory();
         if self.may_act(clock::now()) {
             self.handle_early_packets();
             self.process_held_packets();
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -481,20 +481,37 @@
 async fn prune_farewell() {
     // A leaving member hands over a record that another member keeps, while this agent still has to
     // drop the records that it no longer keeps since the last change of members. The new record
-    // must survive.
+    // must survive until the members have changed, but not for good.
     let mut harness = Harness::open().await;
-    let flow = harness.flow(harness.port_at_home(Harness::id(1)));
-    harness.worker.outbox.retain(|_, _| false);
-    harness.worker.prune_at = Some(clock::now());
-    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: Harness::id(0) };
+    let (kept, handed_over) = (Harness::id(1), Harness::id(0));
+    let flow = harness.flow(harness.port_at_home(kept));
+    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: handed_over };
     harness
         .send_from_peer(0, Body::Report(Report { opened: vec![record], ..Report::default() }))
         .await;
-    harness.worker.prune_directory();
+    let now = clock::now();
+    harness.worker.sweep_records(now + Duration::from_secs(5));
     assert!(
         harness.worker.directory.get(&flow).is_some(),
         "the record of a leaving member was dropped"
     );
+    harness.worker.sweep_records(now + Duration::from_secs(20));
+    assert!(harness.worker.directory.get(&flow).is_none(), "a copy was kept for good");
+}
+
+#[tokio::test]
+async fn final_reports_without_copies() {
+    // Members leave one after the other, each with copies of the records of those before. If the
+    // copies were passed on, each leaving member would send more than the one before.
+    let mut harness = Harness::open().await;
+    let flow = harness.flow(harness.port_at_home(Harness::id(1)));
+    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: Harness::id(0) };
+    harness
+        .send_from_peer(0, Body::Report(Report { opened: vec![record], ..Report::default() }))
+        .await;
+    harness.worker.outbox.retain(|_, _| false);
+    harness.worker.queue_final_reports();
+    assert!(harness.worker.outbox.is_empty());
 }
 
 #[tokio::test]
@@ -523,6 +540,7 @@
     let (home, owner) = (Harness::id(0), Harness::id(1));
     let flow = harness.flow(harness.port_at_home(home));
     harness.worker.directory.record_owner(flow, owner, CALLER_ISN);
+    harness.worker.directory.mark_moved(clock::now(), |_, _| false);
     harness.change_members(|pool| pool.members.retain(|member| member.vm != owner));
     harness.worker.tick();
     let report = harness
