fix(agent): a flow whose route is removed while it waits is forgotten

Cause: the placement of such a flow ended without an answer, and its record stayed for good; seen when reading the code. Test waiting_without_route fails without the change.

--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -112,7 +112,9 @@
     /// Offers a flow to the next candidate. If none is left, lets the flow wait or refuses it.
     fn offer_to_next(&mut self, flow: Flow) {
         let view = Arc::clone(self.membership.view());
-        let Some(route) = view.route(flow.service, flow.protocol) else { return };
+        let Some(route) = view.route(flow.service, flow.protocol) else {
+            return self.forget_unrouted(&flow);
+        };
         loop {
             let Some(chosen) = self.next_member(flow, route) else {
                 return self.wait_or_refuse(flow, route);
@@ -130,6 +132,12 @@
         }
     }
 
+    /// Removes the record of a flow that is being placed, and whose route was removed meanwhile.
+    fn forget_unrouted(&mut self, flow: &Flow) {
+        unusual!(self.events, "flow has no route any more"; "flow" => %flow);
+        self.directory.remove(flow);
+    }
+
     /// Selects the next member to offer a flow to, and starts the next round when a round has no
     /// candidates left.
     fn next_member(&mut self, flow: Flow, route: &Route) -> Option<vm::Id> {
@@ -407,7 +415,9 @@
     fn retry_waiting(&mut self, flow: Flow, now: Instant) {
         let Some(pool) = self.pool.clone() else { return };
         let view = Arc::clone(self.membership.view());
-        let Some(route) = view.route(flow.service, flow.protocol) else { return };
+        let Some(route) = view.route(flow.service, flow.protocol) else {
+            return self.forget_unrouted(&flow);
+        };
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         if is_expired(offer, route, now) {
             return self.refuse_flow(flow);
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyssopdyke::connection;
 use hyssopdyke::process::{Phase, UpstreamReport};
 use hyssopdyke::request::{Packet, PacketCodec};
 use hyssopdyke::version::Store;
@@ -647,3 +648,16 @@
     assert!(harness.worker.directory.get(&harness.flow(port)).is_none());
     assert!(Harness::is_silent(&harness.upstream).await);
 }
+
+#[tokio::test]
+async fn waiting_without_route() {
+    // The route of a flow that waits for room was removed: its record must not stay for good.
+    let mut harness = Harness::open().await;
+    let mut flow = harness.flow(1000);
+    flow.service.set_port(SERVICE.1 + 1);
+    let received_at = clock::now().checked_sub(Duration::from_secs(1)).unwrap();
+    let offer = connection::Offer::new(Bytes::new(), "a".into(), 0, received_at);
+    harness.worker.directory.insert_offer(flow, offer);
+    harness.worker.tick();
+    assert!(harness.worker.directory.get(&flow).is_none());
+}
