fix(agent): homes that know no loads do not let flows wait for them

Change: an upstream whose load is unknown counts as one with room, and agents tell their load when they start to serve and when the homes change. Test room_of_unknown_load fails without the change.

--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -147,9 +147,9 @@
         candidates.iter().map(|candidate| candidate.vm).min_by_key(|vm| wait(*vm))
     }
 
-    /// Returns the candidates that last reported room.
+    /// Returns the candidates that last reported room, or have not reported their load yet.
     pub(super) fn with_room(&self, candidates: &[Candidate]) -> Vec<Candidate> {
-        let has_room = |vm| self.loads.get(&vm).is_some_and(|load| load.room > 0);
+        let has_room = |vm| self.loads.get(&vm).is_none_or(|load| load.room > 0);
         candidates.iter().filter(|candidate| has_room(candidate.vm)).copied().collect()
     }
 }
--- a/crates/hyssopdyked/src/agent/peers_tests.rs
+++ b/crates/hyssopdyked/src/agent/peers_tests.rs
@@ -100,3 +100,13 @@
     assert_eq!(expected_wait(&full), Duration::from_millis(50));
     assert!(expected_wait(&Load { queue: 9, ..full }) >= Duration::from_millis(500));
 }
+
+#[test]
+fn room_of_unknown_load() {
+    // A home that has just started knows no loads. Its flows must not wait until they come.
+    let mut peers = Peers::default();
+    peers.record_load(1, Load { room: 0, ..Load::default() });
+    peers.record_load(2, Load { room: 3, ..Load::default() });
+    let all = [1, 2, 3].map(|vm| Candidate { vm, weight: 0 });
+    assert_eq!(ids(&peers.with_room(&all)), [2, 3]);
+}
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -97,6 +97,10 @@
                 pool.is_record_holder(flow.hash(keys), owner, own_id)
             });
         }
+        if self.is_member && is_home_change {
+            // A new home does not know any loads.
+            self.exchange_loads(clock::now());
+        }
         if self.is_member && self.is_leaving && is_home_change {
             self.queue_final_reports();
         }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -439,6 +439,7 @@
         let Some(mut packets) = self.early_packets.take() else { return };
         let held = packets.take(clock::now());
         info!(self.events.logger(), "serving starts"; "held_packets" => held.len());
+        self.exchange_loads(clock::now());
         for ((forward, from), held) in held {
             let held_ms = forward.held_ms.saturating_add(held.as_millis() as u32);
             self.handle_forward(Forward { held_ms, ..forward }, from);
