fix(agent): a search for a lost flow asks few members and ends

Cause: after a loss of power callers send packets of thousands of flows that nobody knows. Besides, VMs whose upstream did not come back never answered, so that no search ended from 47.4 to 51.6 s, when their leases did, and callers waited for their time limit.

Change: agents tell homes whether they have an entry for each flow of their upstream. An upstream that started up to 250 ms before its agent's process cannot have been served by a former one. An agent without an upstream says so.

Tests search_only_unknowing_members and search_without_upstream fail without the change.

--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -140,6 +140,11 @@
         self.loads.get(&vm).is_some_and(|load| load.ejected)
     }
 
+    /// Returns whether a member has an entry for each flow that its upstream holds.
+    pub(super) fn knows_flows(&self, vm: vm::Id) -> bool {
+        self.loads.get(&vm).is_some_and(|load| load.knows_flows)
+    }
+
     /// Returns the candidate with the shortest expected wait for a slot, by the last reported
     /// loads.
     pub(super) fn shortest_wait(&self, candidates: &[Candidate]) -> Option<vm::Id> {
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -1,8 +1,9 @@
 //! Searches for flows that have no record at their home.
 //!
-//! The report of a new flow may still be in flight, and a restarted agent may have lost flows that
-//! its upstream holds. The home therefore asks all members, and resets the caller only once each of
-//! them has answered that it does not serve the flow.
+//! The report of a new flow that another home has placed may still be in flight, and a restarted
+//! agent may have lost flows that its upstream holds. The home therefore asks the other homes and
+//! such agents, and resets the caller only once each of them has answered that it does not serve the
+//! flow.
 
 use std::net::SocketAddr;
 
@@ -17,11 +18,15 @@
 use hyssopdyke_wire::datagram::{Forward, Unknown, datagram::Body};
 
 impl<C: PacketCodec> Worker<C> {
-    /// Asks all reachable members for a flow that has no record at this home.
+    /// Asks the reachable members that may know of a flow without a record at this home: the other
+    /// homes, one of which may have placed it, and members whose upstream may hold flows that they
+    /// have no entry for.
     pub(super) fn start_search(&mut self, flow: Flow, forward: &Forward) {
         let now = clock::now();
         let Some(pool) = self.pool.clone() else { return };
-        let members: Vec<vm::Id> = self.peers.reachable_members(&pool, self.own_id, now).collect();
+        let reachable = self.peers.reachable_members(&pool, self.own_id, now);
+        let members: Vec<vm::Id> =
+            reachable.filter(|vm| pool.is_home(*vm) || !self.peers.knows_flows(*vm)).collect();
         if !self.searches.start(flow, &members, now) {
             return self.metrics.count("dropped.searched");
         }
@@ -46,6 +51,16 @@
         }
     }
 
+    /// Answers a search while this agent is no member, because it has no upstream. The home waits for
+    /// the answer as long as the former process is on record as a member.
+    pub(super) fn answer_without_upstream(&mut self, bytes: &Bytes, from: SocketAddr) {
+        let Ok(packet) = self.codec.parse(bytes) else {
+            return self.metrics.count("dropped.malformed");
+        };
+        let (flow, packet) = (Some(packet.inbound_flow().into()), bytes.clone());
+        self.send_to(from, Body::Unknown(Unknown { flow, searched: true, packet }));
+    }
+
     /// Sends the upstream a packet, which it returns if it does not hold the flow.
     fn query_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
         let now = clock::now();
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -20,6 +20,13 @@
 /// started.
 const STARTUP_HEARTBEATS: u32 = 5;
 
+/// Heartbeats after the start of a process without a report after which there is no upstream.
+const MISSED_HEARTBEATS: u32 = 2;
+
+/// Minimum time in milliseconds between the end of an agent's process and the start of the next one on
+/// the same VM. After a loss of power, upstream and agent start together, in any order.
+const MIN_RESTART_MS: u64 = 250;
+
 /// Age after which a flow counts as ended even if neither end has closed it.
 const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
 
@@ -115,15 +122,26 @@
     }
 
     /// Returns whether the upstream may hold flows that this process has no entry for: the upstream
-    /// started before this process, and some of its flows from that time may still be open.
+    /// started before this process, so that a former process may have served it, and some of its
+    /// flows from that time may still be open.
     pub(super) fn may_have_unknown_flows(&self, now: Instant) -> bool {
+        let former_process_end = self.started.1.saturating_sub(MIN_RESTART_MS);
         let is_older = match self.upstream.last_report() {
-            Some(report) => report.started_ms < self.started.1,
+            Some(report) => report.started_ms < former_process_end,
             None => true,
         };
         is_older && now.duration_since(self.started.0) < MAX_FLOW_AGE
     }
 
+    /// Returns whether this agent has no upstream: the upstream has ended, or would have reported since
+    /// the start of this process.
+    pub(super) fn has_no_upstream(&self, now: Instant) -> bool {
+        let is_late =
+            now.duration_since(self.started.0) >= self.settings.heartbeat * MISSED_HEARTBEATS;
+        let never_reported = self.upstream.last_report().is_none() && is_late;
+        self.settings.reports.is_some() && (self.upstream.is_gone() || never_reported)
+    }
+
     /// Records that the upstream has sent a packet or a report.
     pub(super) fn record_upstream_activity(&mut self, now: Instant) {
         self.upstream_last_seen = Some(now);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -390,6 +390,9 @@
     pub(super) fn handle_forward(&mut self, forward: Forward, from: SocketAddr) {
         let now = clock::now();
         if !self.may_serve_owned(now) {
+            if forward.search && self.has_no_upstream(now) {
+                return self.answer_without_upstream(&forward.packet, from);
+            }
             return self.hold_early(forward, from, now);
         }
         let Some((packet, _)) = self.parse_routed(&forward.packet) else {
@@ -587,6 +590,7 @@
             room,
             ejected: self.limit.is_ejected(now),
             closed: self.is_leaving || !self.is_serving(now),
+            knows_flows: !self.is_recovering && !self.may_have_unknown_flows(now),
         }
     }
 
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -378,6 +378,24 @@
     assert_eq!((reset[12], &reset[..4]), (RST, &(OTHER_UPSTREAM_ISN + 1).to_le_bytes()[..]));
 }
 
+#[tokio::test]
+async fn search_only_unknowing_members() {
+    // After a loss of power, callers send packets of thousands of lost flows. Members that know all
+    // flows of their upstreams and are no homes need not be asked about each.
+    let mut harness = Harness::open().await;
+    let (own_id, knowing) = (harness.worker.own_id, Harness::id(0));
+    harness.change_members(|pool| pool.homes = vec![own_id]);
+    harness.worker.peers.record_load(knowing, Load { knows_flows: true, ..Load::default() });
+    let port = harness.port_at_home(own_id);
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    harness.send_from_peer(0, forward(request.clone())).await;
+    harness.receive_at_peer(1, search_request).await;
+    let asked = harness.receive_at_peer(0, search_request);
+    assert!(timeout(SILENCE_WAIT, asked).await.is_err());
+    harness.send_from_peer(1, search_miss(flow, request)).await;
+    assert_eq!(Harness::receive(&harness.caller).await[12], RST);
+}
+
 #[tokio::test]
 async fn search_behind_peer() {
     // A peer with a newer revision may have a member that was not asked, so the caller is not
@@ -661,3 +679,26 @@
     harness.worker.tick();
     assert!(harness.worker.directory.get(&flow).is_none());
 }
+
+#[tokio::test]
+async fn search_without_upstream() {
+    // The VM lost power, and its upstream has not come back. The agent is no member then, but homes
+    // wait for its answer until its former lease has ended.
+    let mut harness = Harness::open().await;
+    harness.worker.is_member = false;
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    let port = harness.port_at_home(Harness::id(0));
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    let search = || Forward { packet: request.clone(), search: true, ..Forward::default() };
+    let miss = |body| match body {
+        Body::Unknown(unknown) if unknown.searched => Some(unknown.flow),
+        _ => None,
+    };
+    harness.send_from_peer(0, Body::Forward(search())).await;
+    let early = harness.receive_at_peer(0, miss);
+    assert!(timeout(SILENCE_WAIT, early).await.is_err(), "the upstream may still report");
+    harness.worker.settings.heartbeat = Duration::from_millis(1);
+    harness.worker.started.0 = clock::now().checked_sub(Duration::from_secs(1)).unwrap();
+    harness.send_from_peer(0, Body::Forward(search())).await;
+    assert_eq!(harness.receive_at_peer(0, miss).await, Some(flow.into()));
+}
