--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -140,6 +140,11 @@
         self.loads.get(&vm).is_some_and(|load| load.ejected)
     }
 
+    /// Returns whether a member has an entry for each flow that its upstream holds.
+    pub(super) fn knows_flows(&self, vm: vm::Id) -> bool {
+        self.loads.get(&vm).is_some_and(|load| load.knows_flows)
+    }
+
     /// Returns the candidate with the shortest expected wait for a slot, by the last reported
     /// loads.
     pub(super) fn shortest_wait(&self, candidates: &[Candidate]) -> Option<vm::Id> {
@@ -147,9 +152,9 @@
         candidates.iter().map(|candidate| candidate.vm).min_by_key(|vm| wait(*vm))
     }
 
-    /// Returns the candidates that last reported room.
+    /// Returns the candidates that last reported room, or have not reported their load yet.
     pub(super) fn with_room(&self, candidates: &[Candidate]) -> Vec<Candidate> {
-        let has_room = |vm| self.loads.get(&vm).is_some_and(|load| load.room > 0);
+        let has_room = |vm| self.loads.get(&vm).is_none_or(|load| load.room > 0);
         candidates.iter().filter(|candidate| has_room(candidate.vm)).copied().collect()
     }
 }
