fix(agent): a home that has placed a flow in place of another does not answer that it is unknown

Cause: found when reading the narrowed search: members that know all flows of their upstreams are not asked any more, because the home that placed a flow is. But that home looked only into its own table and answered a miss, so that the flow's home could reset a caller while the owner's report was on its way.

Change: such a home passes the search on to the owner, which reports to the flow's home. An owner that misses the flow clears the stale record, so that the next search is answered.

Test search_placed_by_other_home fails without the change.

--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -86,10 +86,10 @@
         else {
             return self.metrics.count("unexpected");
         };
+        self.directory.remove_owned(&flow, vm, None);
         if unknown.searched {
-            return self.handle_search_miss(&flow, vm, &unknown.packet);
+            self.handle_search_miss(&flow, vm, &unknown.packet);
         }
-        self.directory.remove_owned(&flow, vm, None);
     }
 
     /// Marks the records whose owners are not members as absent.
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::log::unusual;
 use bytes::Bytes;
-use hyssopdyke::connection::Flow;
+use hyssopdyke::connection::{Flow, Record};
 use hyssopdyke::request::{Packet, PacketCodec};
 use hyssopdyke::vm;
 use hyssopdyke_wire::datagram::{Forward, Unknown, datagram::Body};
@@ -43,8 +43,20 @@
         }
     }
 
-    /// Handles the search of a home by asking the upstream, if the upstream may hold the flow.
+    /// Handles the search of a home: asks the owner, if this agent has placed the flow in place of
+    /// that home, and otherwise the upstream, if it may hold the flow.
+    ///
+    /// An owner reports the flow to its home itself. A flow that is being placed is not answered for.
     pub(super) fn handle_search(&mut self, flow: Flow, bytes: &Bytes, from: SocketAddr) {
+        match self.directory.get(&flow) {
+            Some(Record::Owned { owner, absent_since: None, .. }) if *owner != self.own_id => {
+                let (owner, packet) = (*owner, bytes.clone());
+                let request = Forward { packet, search: true, ..Forward::default() };
+                return self.send(owner, Body::Forward(request));
+            }
+            Some(Record::Offered(_)) => return,
+            _ => {}
+        }
         match self.peers.id(from) {
             Some(home) => self.query_upstream(flow, bytes, home),
             None => self.metrics.count("dropped.no_peer"),
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -396,6 +396,29 @@
     assert_eq!(Harness::receive(&harness.caller).await[12], RST);
 }
 
+#[tokio::test]
+async fn search_placed_by_other_home() {
+    // This agent has placed a flow in place of its home, and the owner's report has not reached the
+    // home yet. If this agent answered that it does not serve the flow, its caller would be reset.
+    let mut harness = Harness::open().await;
+    let (home, owner) = (Harness::id(0), Harness::id(1));
+    let port = harness.port_at_home(home);
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    harness.worker.directory.record_owner(flow, owner, CALLER_ISN);
+    let search = Forward { packet: request.clone(), search: true, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(search)).await;
+    assert_eq!(harness.receive_at_peer(1, search_request).await.packet, request);
+    let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
+    let answer = harness.receive_at_peer(0, miss);
+    assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
+    // The record was stale: the next search is answered.
+    harness.send_from_peer(1, search_miss(flow, request.clone())).await;
+    let search = Forward { packet: request, search: true, ..Forward::default() };
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    harness.send_from_peer(0, Body::Forward(search)).await;
+    harness.receive_at_peer(0, miss).await;
+}
+
 #[tokio::test]
 async fn search_behind_peer() {
     // A peer with a newer revision may have a member that was not asked, so the caller is not
