fix(agent): a search is passed on once

Cause: seen when reading: two homes with outdated records that name each other's agents as the owner of a flow would have passed a search on for ever. Change: the request carries one hop. Part of the test search_placed_by_other_home.

--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -37,7 +37,7 @@
                 self.query_upstream(flow, &forward.packet, self.own_id);
             } else {
                 let packet = forward.packet.clone();
-                let request = Forward { packet, search: true, ..Forward::default() };
+                let request = Forward { packet, search: true, hops: 1, ..Forward::default() };
                 self.send(member, Body::Forward(request));
             }
         }
@@ -47,18 +47,20 @@
     /// that home, and otherwise the upstream, if it may hold the flow.
     ///
     /// An owner reports the flow to its home itself. A flow that is being placed is not answered for.
-    pub(super) fn handle_search(&mut self, flow: Flow, bytes: &Bytes, from: SocketAddr) {
+    pub(super) fn handle_search(&mut self, flow: Flow, search: Forward, from: SocketAddr) {
         match self.directory.get(&flow) {
-            Some(Record::Owned { owner, absent_since: None, .. }) if *owner != self.own_id => {
-                let (owner, packet) = (*owner, bytes.clone());
-                let request = Forward { packet, search: true, ..Forward::default() };
-                return self.send(owner, Body::Forward(request));
+            // Two outdated records may name each other's agents, so a search is passed on once.
+            Some(Record::Owned { owner, absent_since: None, .. })
+                if *owner != self.own_id && search.hops > 0 =>
+            {
+                let owner = *owner;
+                return self.send(owner, Body::Forward(Forward { hops: 0, ..search }));
             }
             Some(Record::Offered(_)) => return,
             _ => {}
         }
         match self.peers.id(from) {
-            Some(home) => self.query_upstream(flow, bytes, home),
+            Some(home) => self.query_upstream(flow, &search.packet, home),
             None => self.metrics.count("dropped.no_peer"),
         }
     }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -407,7 +407,7 @@
             return;
         }
         if forward.search {
-            return self.handle_search(flow, &forward.packet, from);
+            return self.handle_search(flow, forward, from);
         }
         if !self.may_act(now) {
             return self.metrics.count("dropped.inactive");
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -405,9 +405,11 @@
     let port = harness.port_at_home(home);
     let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
     harness.worker.directory.record_owner(flow, owner, CALLER_ISN);
-    let search = Forward { packet: request.clone(), search: true, ..Forward::default() };
+    let search = Forward { packet: request.clone(), search: true, hops: 1, ..Forward::default() };
     harness.send_from_peer(0, Body::Forward(search)).await;
-    assert_eq!(harness.receive_at_peer(1, search_request).await.packet, request);
+    let passed_on = harness.receive_at_peer(1, search_request).await;
+    // Two outdated records that name each other's agents must not pass a search on for ever.
+    assert_eq!((passed_on.packet, passed_on.hops), (request.clone(), 0));
     let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
     let answer = harness.receive_at_peer(0, miss);
     assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
