fix(placement): flows wait at their home only after an outage

Change: flows wait, and late ones do not queue, only in the 5 s after their home has started to serve, which is when callers reconnect. Later a flow that finds no slot is refused at once, as before. Test full_refused_under_overload fails without the change.

--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -208,8 +208,10 @@
         if has_room && self.try_take_warmup(&capacity, now) {
             return Ok(());
         }
-        // The home of a flow of class exchange asks for a short queue last, and then waits.
-        if route.class == Class::Exchange && terms.max_wait.is_zero() {
+        // The home of a flow of class exchange asks for a short queue last, and then waits, but only
+        // after an outage.
+        let may_wait = !terms.max_wait.is_zero() && self.is_after_outage(now);
+        if route.class == Class::Exchange && !may_wait {
             return Err(Reason::Full);
         }
         if self.waiting_homes.len() == MAX_WAITING_HOMES {
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -171,6 +171,7 @@
 
     /// Sends an offer to its current candidate.
     fn send_offer(&mut self, flow: Flow, route: &Route) {
+        let may_wait = self.is_after_outage(clock::now());
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         let Some(to) = offer.candidate else { return };
         let (entry_address, entry_port) = offer.entry.map_or((0, 0), encode_address);
@@ -178,7 +179,7 @@
             packet: offer.packet.clone(),
             entry_address,
             entry_port,
-            patience_ms: max_wait(offer, route).as_millis() as u32,
+            patience_ms: max_wait(offer, route, may_wait).as_millis() as u32,
             needs_ejected: self.needs_ejected(to),
         };
         self.send(to, Body::Offer(offer));
@@ -203,7 +204,7 @@
         };
         let terms = Terms {
             home: self.own_id,
-            max_wait: max_wait(&offer, &route),
+            max_wait: max_wait(&offer, &route, self.is_after_outage(clock::now())),
             needs_ejected: self.needs_ejected(self.own_id),
         };
         let is_admitted = self.admit(terms, flow, &packet, &route, &bytes).is_ok();
@@ -366,10 +367,11 @@
 }
 
 /// Returns the time for which the first request of an offered flow may wait for a slot.
-fn max_wait(offer: &connection::Offer, route: &Route) -> Duration {
+fn max_wait(offer: &connection::Offer, route: &Route, may_wait_at_home: bool) -> Duration {
+    let is_late = offer.age(clock::now()) >= route.objective;
     match offer.round {
         Round::Selected | Round::Alternatives => Duration::ZERO,
-        Round::Queued if offer.age(clock::now()) >= route.objective => LATE_MAX_WAIT,
+        Round::Queued if is_late && may_wait_at_home => LATE_MAX_WAIT,
         Round::Queued => route.objective.mul_f64(MAX_WAIT_SHARE),
     }
 }
--- a/crates/hyssopdyked/src/agent/waiting.rs
+++ b/crates/hyssopdyked/src/agent/waiting.rs
@@ -31,6 +31,9 @@
         // The flow itself counts as waiting already.
         let waiting = self.directory.waiting_count().saturating_sub(1);
         let has_room = match route.class {
+            // Later, every member asked has a longer queue than it can serve in time, and a flow
+            // that waited would only take the place of another.
+            Class::Exchange if !self.is_after_outage(now) => false,
             Class::Exchange => Backlog::has_room(waiting) || self.displace_late(flow, now),
             Class::Stream | Class::Request => waiting < MAX_WAITING_FLOWS,
         };
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -52,6 +52,9 @@
 /// which callers wait for the answer to a first packet.
 const MAX_EARLY_TIME: Duration = Duration::from_secs(1);
 
+/// Time after the start of a process in which callers reconnect: longer than their retries take.
+const RECONNECT_PERIOD: Duration = Duration::from_secs(5);
+
 /// Interval between transmissions of an unacknowledged report.
 const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -137,6 +140,8 @@
     /// Packets that arrived before the process was allowed to act for the first time; `None` since
     /// then.
     early_packets: Option<HoldQueue<(Forward, SocketAddr)>>,
+    /// When the process was allowed to act for the first time.
+    serving_since: Option<Instant>,
     /// Homes whose offers were declined because the upstream was full, with the time of declining.
     pub(super) waiting_homes: VecDeque<(vm::Id, Instant)>,
     pub(super) limit: Limit,
@@ -196,6 +201,7 @@
             pending_records: HashMap::new(),
             held_packets: VecDeque::new(),
             early_packets: Some(HoldQueue::new(MAX_EARLY_PACKETS, MAX_EARLY_TIME)),
+            serving_since: None,
             waiting_homes: VecDeque::new(),
             limit: Limit::new(1, 1),
             warmup_limiter: WarmupLimiter::new(),
@@ -437,9 +443,16 @@
         }
     }
 
+    /// Returns whether the process has started to serve so recently that callers may still return
+    /// all at once after an outage.
+    pub(super) fn is_after_outage(&self, now: Instant) -> bool {
+        self.serving_since.is_none_or(|since| now.duration_since(since) < RECONNECT_PERIOD)
+    }
+
     /// Handles the packets that arrived before the process may act, which it may now.
     fn handle_early_packets(&mut self) {
         let Some(mut packets) = self.early_packets.take() else { return };
+        self.serving_since = Some(clock::now());
         let held = packets.take(clock::now());
         info!(self.events.logger(), "serving starts"; "held_packets" => held.len());
         self.exchange_loads(clock::now());
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -239,14 +239,15 @@
         let (packet, _) = self.packet(port, CALLER_ISN, 0, SYN, b"");
         self.send_from_peer(0, forward(packet)).await;
         let flow = self.flow(port);
-        while let Some(candidate) = self.worker.directory.offer_mut(&flow).unwrap().candidate {
+        while let Some(candidate) =
+            self.worker.directory.offer_mut(&flow).and_then(|offer| offer.candidate)
+        {
             let peer = usize::from(candidate != Self::id(0));
             let load = Some(Load { weight: 100_000, queue: 3, ..Load::default() });
             let (flow, reason) = (Some(flow.into()), Reason::Full as i32);
             let declined = Declined { flow, reason, load, ..Declined::default() };
             self.send_from_peer(peer, Body::Declined(declined)).await;
         }
-        self.drain().await;
     }
 
     /// Applies a change of the members that moves no home.
@@ -659,6 +660,7 @@
     let port = harness.port_at_home(vm::id("vm-0"));
     harness.place_while_full(port).await;
     assert!(Harness::is_silent(&harness.caller).await, "the flow was refused");
+    harness.drain().await;
     harness.send_from_peer(1, Body::Room(Room {})).await;
     let is_offer = |body| matches!(body, Body::Offer(_)).then_some(());
     harness.receive_at_peer(1, is_offer).await;
@@ -727,3 +729,14 @@
     harness.send_from_peer(0, Body::Forward(search())).await;
     assert_eq!(harness.receive_at_peer(0, miss).await, Some(flow.into()));
 }
+
+#[tokio::test]
+async fn full_refused_under_overload() {
+    // Long after an outage, a flow that finds no slot is refused at once: under lasting overload it
+    // would wait in vain, or take the place of another.
+    let mut harness = Harness::open().await;
+    harness.worker.serving_since = clock::now().checked_sub(Duration::from_mins(1));
+    let port = harness.port_at_home(vm::id("vm-0"));
+    harness.place_while_full(port).await;
+    assert_eq!(Harness::receive(&harness.caller).await[12], RST);
+}
