refactor: one set of limits for packets held at a start, and no count where it decides nothing

Found in a last reading. Entry and agent each had the same two constants for the packets held until a process may act: they are now those of HoldQueue::default. wait_or_refuse counted the waiting flows, a pass over all records, also where a flow is refused whatever the count is, on the path of each refusal under overload. No behaviour changes.

--- a/crates/hyssopdyke/src/process/hold_queue.rs
+++ b/crates/hyssopdyke/src/process/hold_queue.rs
@@ -6,6 +6,13 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+/// Maximum number of packets that a new process holds.
+const MAX_PACKETS: usize = 256;
+
+/// Maximum time for which a packet is held: shorter than the time for which callers wait for the
+/// answer to a first packet.
+const MAX_AGE: Duration = Duration::from_secs(1);
+
 /// Bounded queue of items that expire.
 #[derive(Debug)]
 pub struct HoldQueue<T> {
@@ -42,3 +49,10 @@
         items.filter(|(_, held)| *held < max_age).collect()
     }
 }
+
+impl<T> Default for HoldQueue<T> {
+    /// Creates the queue of a process that has just started.
+    fn default() -> Self {
+        Self::new(MAX_PACKETS, MAX_AGE)
+    }
+}
--- a/crates/hyssopdyked/src/agent/waiting.rs
+++ b/crates/hyssopdyked/src/agent/waiting.rs
@@ -28,14 +28,15 @@
     /// Lets a flow wait for room, or refuses it if waiting cannot help.
     pub(super) fn wait_or_refuse(&mut self, flow: Flow, route: &Route) {
         let now = clock::now();
-        // The flow itself counts as waiting already.
-        let waiting = self.directory.waiting_count().saturating_sub(1);
+        // The flow itself counts as waiting already. Counted only where it decides, since that takes
+        // a pass over all records.
+        let waiting = || self.directory.waiting_count().saturating_sub(1);
         let has_room = match route.class {
             // Later, every member asked has a longer queue than it can serve in time, and a flow
             // that waited would only take the place of another.
             Class::Exchange if !self.is_after_outage(now) => false,
-            Class::Exchange => Backlog::has_room(waiting) || self.displace_late(flow, now),
-            Class::Stream | Class::Request => waiting < MAX_WAITING_FLOWS,
+            Class::Exchange => Backlog::has_room(waiting()) || self.displace_late(flow, now),
+            Class::Stream | Class::Request => waiting() < MAX_WAITING_FLOWS,
         };
         let Some(offer) = self.directory.offer_mut(&flow) else { return };
         if !has_room || is_expired(offer, route, now) {
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -45,13 +45,6 @@
 /// Maximum number of packets held until the reports of other members arrive.
 const MAX_HELD_PACKETS: usize = 512;
 
-/// Maximum number of packets held until a new process may act.
-const MAX_EARLY_PACKETS: usize = 256;
-
-/// Maximum time for which a packet is held until a new process may act: shorter than the time for
-/// which callers wait for the answer to a first packet.
-const MAX_EARLY_TIME: Duration = Duration::from_secs(1);
-
 /// Time after the start of a process in which callers reconnect: longer than their retries take.
 const RECONNECT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -200,7 +193,7 @@
             outbox: Outbox::new(REPORT_RETRY_INTERVAL, MAX_UNACKNOWLEDGED_REPORTS),
             pending_records: HashMap::new(),
             held_packets: VecDeque::new(),
-            early_packets: Some(HoldQueue::new(MAX_EARLY_PACKETS, MAX_EARLY_TIME)),
+            early_packets: Some(HoldQueue::default()),
             serving_since: None,
             waiting_homes: VecDeque::new(),
             limit: Limit::new(1, 1),
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -30,13 +30,6 @@
 /// Maximum number of datagrams to read from a socket before the others are polled.
 const MAX_BATCH_DATAGRAMS: usize = 64;
 
-/// Maximum number of packets held until a new process may act.
-const MAX_HELD_PACKETS: usize = 256;
-
-/// Maximum time for which a packet is held: shorter than the time for which callers wait for the
-/// answer to a first packet.
-const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
-
 /// Interval between flushes of the metrics and pings to peers.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -128,7 +121,7 @@
             cache,
             openings: Openings::new(),
             suspects: Suspects::new(),
-            held_packets: HoldQueue::new(MAX_HELD_PACKETS, MAX_HOLD_TIME),
+            held_packets: HoldQueue::default(),
             acting_since: None,
             reachability: Reachability::new(clock::now()),
             shaper: link_mbit.map(|rate| Shaper::new(rate * BYTES_PER_MBIT)),
