--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Phase;
-use crate::cluster::{BEAT, Cluster, Failure, ZONES, manifest};
+use crate::cluster::{BEAT, Cluster, Failure, SERVICE, ZONES, manifest};
 use crate::net::{self, Record};
 
 pub struct Verdict {
@@ -19,7 +19,7 @@
 pub fn foreign_report(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
     let mut cluster = Cluster::start(&|host| manifest(7, host, 2.0, 0.0), record)?;
     let route = cluster.route(8443);
-    cluster.open_long(route, 45)?;
+    cluster.open_long(route, 45, Duration::from_millis(300))?;
     // Nothing happens for longer than stability_window_ms (4,000).
     seconds(6.0);
     let before = cluster.clients.state.lock().unwrap().broken.len();
@@ -70,7 +70,7 @@
         let start = Instant::now();
         let mut count = 0;
         while start.elapsed().as_secs_f64() < length {
-            cluster.clients.open(route, false);
+            cluster.clients.open(route, None);
             count += 1;
             let due = Duration::from_secs_f64(f64::from(count) / 90.0);
             std::thread::sleep(due.saturating_sub(start.elapsed()));
@@ -138,7 +138,310 @@
     })
 }
 
-/// The operator sends manifests that are invalid.
-pub fn invalid_manifest(_record: &Record, _has_trouble: bool) -> Result<Verdict, Failure> {
-    Err("not written".to_string())
+/// How far the clock of one machine is ahead for a while.
+const STEP_MS: u64 = 2400;
+
+/// A machine is added whose clock is ahead. The clock steps back, and then all agents are killed
+/// at the same moment. The clients' flows pause until everything has been calm for a while. Without
+/// the trouble, the clock is right all the time.
+pub fn clock_step(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
+    let document = |host| manifest(7, host, 2.0, 0.0);
+    let mut cluster = Cluster::start_part(&document, record, &[1, 2])?;
+    let route = cluster.route(8443);
+    let added = Instant::now();
+    let ahead = if has_trouble { STEP_MS } else { 0 };
+    cluster.start_agent(0)?;
+    cluster.start_target(0, net::unix_ms() + ahead)?;
+    while cluster.targets[2].state.lock().unwrap().acks == 0 {
+        if added.elapsed() > Duration::from_millis(600) {
+            return Err("the added machine was not ready in time".to_string());
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    // Flows that pause for 7 s between their requests; idle_timeout_ms is 15,000.
+    let mut opened = 0;
+    while added.elapsed() < Duration::from_millis(1300) {
+        cluster.clients.open(route, Some(Duration::from_secs(7)));
+        opened += 1;
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let held = cluster.targets[2].open_flows();
+    record.line(&format!("{opened} flows are opened, {held} at the added target t0"));
+    if has_trouble {
+        record.line("the clock of the added machine steps back by 2,400 ms");
+    }
+    for zone in ZONES {
+        cluster.end(&format!("side-{zone}-1"), "-KILL")?;
+    }
+    for index in 0..3 {
+        cluster.start_agent(index)?;
+    }
+    let restarted = Instant::now();
+    record.line(&format!(
+        "agents are started again {} ms after the added machine",
+        restarted.duration_since(added).as_millis()
+    ));
+    if restarted.duration_since(added) > Duration::from_millis(2300) {
+        return Err("the restart took too long".to_string());
+    }
+    seconds(14.0);
+    cluster.summary();
+    let ended = cluster.ended();
+    if !ended.is_empty() {
+        return Err(format!("processes ended: {ended:?}"));
+    }
+    if held == 0 {
+        return Err("the added target got no flows".to_string());
+    }
+    let state = cluster.clients.state.lock().unwrap();
+    // Nothing has been disturbed on any machine for stability_window_ms (4,000).
+    let window = Duration::from_millis(4000);
+    let resets = state
+        .broken
+        .iter()
+        .filter(|broken| !broken.by_target && broken.at.duration_since(restarted) > window)
+        .count();
+    Ok(Verdict {
+        is_broken: resets > 0,
+        text: format!(
+            "{resets} of {opened} open flows ({held} at the added target) got a reset that their \
+             target did not send, over 4 s after the last disruption"
+        ),
+    })
+}
+
+/// Another writer's reports carry a service that nobody named and a number of another type.
+pub fn crash(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
+    let mut cluster = Cluster::start(&|host| manifest(7, host, 2.0, 0.0), record)?;
+    let route = cluster.route(8443);
+    cluster.open_long(route, 30, Duration::from_millis(300))?;
+    seconds(5.0);
+    let mut ends = [0; 3];
+    for round in 0..3 {
+        for index in 0..2u8 {
+            if has_trouble {
+                let body = format!(
+                    "{{\"service\":\"wuno96b\",\"address\":\"{}\",\"zone\":\"{}\",\
+                     \"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\
+                     \"warmup_left_ms\":10000000000000000000000,\"seq\":{},\"born\":{}}}",
+                    cluster.targets[usize::from(index)].settings.app,
+                    ZONES[usize::from(index)],
+                    round + 1,
+                    net::unix_ms()
+                );
+                let path = "/hyssopdyke/targets/i-0therwr1t";
+                let second = Duration::from_secs(1);
+                let answer = net::call(cluster.reports(index), "PUT", path, &body, second);
+                let status = answer.ok().map(|answer| answer.status);
+                record.line(&format!("another writer PUT {path} {body} -> {status:?}"));
+            }
+            seconds(0.5);
+            let name = format!("side-{}-1", ZONES[usize::from(index)]);
+            let ended = cluster.ended();
+            if let Some(how) = ended.iter().find(|ended| ended.starts_with(&name)) {
+                ends[usize::from(index)] += 1;
+                record.line(&format!("process ended by itself: {how}"));
+                // The platform starts a process that has ended again after a short delay.
+                cluster.start_agent(index)?;
+            }
+        }
+        seconds(3.0);
+    }
+    cluster.summary();
+    let ended = cluster.ended();
+    if !ended.is_empty() {
+        return Err(format!("other processes ended: {ended:?}"));
+    }
+    let machines = ends.iter().filter(|count| **count >= 3).count();
+    Ok(Verdict {
+        // A tenth of the 8 machines in use, two at least.
+        is_broken: machines >= 2,
+        text: format!("agents ended by themselves {ends:?} times, on {machines} machines 3 times"),
+    })
+}
+
+/// The operator sends a manifest with a route that names an unknown service beside its split.
+pub fn invalid_manifest(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
+    let cluster = Cluster::start(&|host| manifest(7, host, 2.0, 0.0), record)?;
+    let host = *cluster.route(0).ip();
+    let second = if has_trouble { "wuno96b" } else { SERVICE };
+    let route = format!(
+        "{{\"name\":\"r-x73d3zj\",\"host\":\"{host}\",\"path_prefix\":\"/8080/\",\
+         \"type\":\"idempotent\",\"timeout_ms\":600,\"slo_latency_ms\":120,\"priority\":1,\
+         \"service\":\"{second}\",\"traffic_split\":[{{\"service\":\"{SERVICE}\",\"weight\":100}}],\
+         \"max_attempts\":2}},"
+    );
+    let document = manifest(9, host, 2.0, 0.0).replace("\"routes\":[", &format!("\"routes\":[{route}"));
+    record.line(&format!("the operator sends {document}"));
+    let limit = Duration::from_secs(5);
+    let sent = cluster.order("PUT", "/hyssopdyke/config", &document, limit)?;
+    let read = cluster.order("GET", "/hyssopdyke/config", "", limit)?;
+    let body = String::from_utf8_lossy(&read.body).into_owned();
+    record.line(&format!("the operator reads {} {body}", read.status));
+    let is_in_force = body == document;
+    let is_acknowledged = (200..300).contains(&sent.status);
+    if !has_trouble && !(is_acknowledged && is_in_force) {
+        return Err("a valid manifest was not taken".to_string());
+    }
+    let kind = if has_trouble { "invalid" } else { "valid" };
+    Ok(Verdict {
+        is_broken: has_trouble && (is_acknowledged || is_in_force),
+        text: format!("the {kind} manifest got {}, and is in force: {is_in_force}", sent.status),
+    })
+}
+
+/// Experiments.
+pub fn experiment(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
+    let which = std::env::var("WHICH").unwrap_or_default();
+    let mut cluster = Cluster::start(&|host| manifest(7, host, 2.0, 0.0), record)?;
+    let route = cluster.route(8443);
+    match which.as_str() {
+        "roll" => {
+            cluster.open_long(route, 60, Duration::from_millis(300))?;
+            cluster.open_long(route, 160, Duration::from_millis(2900))?;
+            seconds(2.0);
+            for round in 0..12u8 {
+                let index = round % 3;
+                let name = format!("side-{}-1", ZONES[usize::from(index)]);
+                cluster.end(&name, "-TERM")?;
+                seconds(0.5);
+                cluster.start_agent(index)?;
+                seconds(0.8);
+                if round % 4 == 3 {
+                    let index = round / 4 % 2;
+                    let name = format!("edge-{}-1", ZONES[usize::from(index)]);
+                    cluster.end(&name, "-TERM")?;
+                    seconds(0.5);
+                    cluster.start_entry(index)?;
+                }
+            }
+            seconds(8.0);
+        }
+        "herd" => {
+            // New boots of the targets.
+            for target in &cluster.targets {
+                let ahead: u64 = if has_trouble { 2400 } else { 0 };
+                target.restart(&format!("{}n", target.settings.name), net::unix_ms() + ahead);
+            }
+            seconds(0.2);
+            cluster.open_long(route, 60, Duration::from_millis(6500))?;
+            seconds(0.3);
+            for zone in ZONES {
+                cluster.end(&format!("side-{zone}-1"), "-KILL")?;
+            }
+            for index in 0..3 {
+                cluster.start_agent(index)?;
+            }
+            seconds(16.0);
+        }
+        "fuzz" => {
+            cluster.open_long(route, 30, Duration::from_millis(300))?;
+            let mut random = net::Random::new();
+            let own = std::net::UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+            let entries = cluster.entries();
+            let sides: Vec<_> = cluster.targets.iter().map(|t| t.settings.outbound).collect();
+            for n in 0..150_000u32 {
+                let to = match random.below(10) {
+                    0..8 => entries[(n % 2) as usize],
+                    _ => sides[(n % 3) as usize],
+                };
+                let mut bytes: Vec<u8> = (0..random.below(90)).map(|_| random.next() as u8).collect();
+                if random.below(4) > 0 && bytes.len() >= 32 {
+                    // A route that exists or not, sane length, odd flags and ends.
+                    let length = (bytes.len() - 32) as u16;
+                    bytes[18..20].copy_from_slice(&length.to_le_bytes());
+                    let dst = route.ip().to_bits().to_le_bytes();
+                    bytes[24..28].copy_from_slice(&dst);
+                    bytes[28..30].copy_from_slice(&8443u16.to_le_bytes());
+                    bytes[23] = 127;
+                    if random.below(3) == 0 {
+                        bytes[20..24].copy_from_slice(&dst);
+                    }
+                }
+                let _ = own.send_to(&bytes, to);
+                if n % 50 == 0 {
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            }
+            seconds(3.0);
+            record.line(&format!("ended: {:?}", cluster.ended()));
+            println!("ended {:?}, open {}", cluster.ended(), cluster.clients.count(Phase::Open));
+        }
+        "roll2" => {
+            // Two rolling restarts at once, of one machine at a time each, 1.2 s apart.
+            let pause: u64 = std::env::var("PAUSE").map_or(300, |text| text.parse().unwrap());
+            cluster.open_long(route, 120, Duration::from_millis(pause))?;
+            seconds(5.0);
+            for round in 0..6u8 {
+                let start = Instant::now();
+                let pair = [round % 3, (round + 1) % 3];
+                for index in pair {
+                    cluster.signal(&format!("side-{}-1", ZONES[usize::from(index)]), "-TERM")?;
+                }
+                for index in pair {
+                    cluster.end(&format!("side-{}-1", ZONES[usize::from(index)]), "-CONT")?;
+                }
+                seconds(0.3);
+                for index in pair {
+                    cluster.start_agent(index)?;
+                }
+                std::thread::sleep(Duration::from_millis(1200).saturating_sub(start.elapsed()));
+            }
+            seconds(10.0);
+        }
+        "roll3" => {
+            let pause: u64 = std::env::var("PAUSE").map_or(300, |text| text.parse().unwrap());
+            cluster.open_long(route, 120, Duration::from_millis(pause))?;
+            seconds(5.0);
+            for zone in ZONES {
+                cluster.signal(&format!("side-{zone}-1"), "-TERM")?;
+            }
+            for zone in ZONES {
+                cluster.end(&format!("side-{zone}-1"), "-CONT")?;
+            }
+            seconds(0.3);
+            for index in 0..3 {
+                cluster.start_agent(index)?;
+            }
+            seconds(10.0);
+        }
+        "panic" => {
+            cluster.open_long(route, 30, Duration::from_millis(300))?;
+            let to = cluster.reports(0);
+            let body = "{\"service\":\"zz\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":1e22,\"seq\":1,\"born\":1900000000000}";
+            let answer = net::call(to, "PUT", "/hyssopdyke/targets/i-x", body, Duration::from_secs(1));
+            println!("{:?}", answer.ok().map(|answer| answer.status));
+            for _ in 0..8 {
+                seconds(1.0);
+                println!("ended {:?}, answers {}", cluster.ended(), cluster.clients.answers());
+            }
+        }
+        "reports" => {
+            cluster.open_long(route, 30, Duration::from_millis(300))?;
+            let to = cluster.reports(0);
+            for (index, body) in [
+                "", "{", "[]", "null", "\u{1}\u{2}", "{\"service\":1}",
+                "{\"service\":\"zz\",\"address\":\"x\",\"zone\":\"y\",\"version\":\"v\",\"slots\":1,\"state\":\"zombie\",\"warmup_left_ms\":0,\"seq\":1,\"born\":1}",
+                "{\"service\":\"zz\",\"slots\":1,\"state\":\"ready\",\"warmup_left_ms\":null,\"seq\":1,\"born\":1}",
+                "{\"service\":\"zz\",\"slots\":1,\"state\":\"ready\",\"warmup_left_ms\":-5,\"seq\":1,\"born\":1}",
+                "{\"service\":\"zz\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":1e300,\"seq\":1,\"born\":1}",
+                "{\"service\":\"zz\",\"slots\":0,\"state\":\"draining\",\"warmup_left_ms\":1,\"seq\":1}",
+                "{\"service\":\"zz\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":1e22,\"seq\":1,\"born\":1900000000000}",
+            ].iter().enumerate() {
+                for method in ["PUT", "DELETE"] {
+                    if method == "DELETE" && index != 3 { continue; }
+                    let answer = net::call(to, method, "/hyssopdyke/targets/i-x", body, Duration::from_secs(1));
+                    let status = answer.ok().map(|answer| answer.status);
+                    println!("{method} {body} -> {status:?}; ended {:?}; open {}", cluster.ended(), cluster.clients.count(Phase::Open));
+                    seconds(0.2);
+                }
+            }
+        }
+        _ => return Err("which?".to_string()),
+    }
+    cluster.summary();
+    let state = cluster.clients.state.lock().unwrap();
+    let resets = state.broken.iter().filter(|broken| !broken.by_target).count();
+    Ok(Verdict { is_broken: resets > 0, text: format!("{resets} resets") })
 }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -36,7 +36,8 @@
 pub struct Flow {
     pub phase: Phase,
     route: SocketAddrV4,
-    is_long: bool,
+    /// Pause between the requests of a long flow; `None` for a flow of one request.
+    pause: Option<Duration>,
     isn: u32,
     started: Instant,
     pub opened: Option<Instant>,
@@ -95,8 +96,8 @@
         self.stop.store(true, Ordering::Relaxed);
     }
 
-    /// Opens a flow to a route and returns its port. A long flow sends a request every 300 ms.
-    pub fn open(&self, route: SocketAddrV4, is_long: bool) -> u16 {
+    /// Opens a flow to a route and returns its port. A long flow pauses between its requests.
+    pub fn open(&self, route: SocketAddrV4, pause: Option<Duration>) -> u16 {
         let mut state = self.state.lock().unwrap();
         let port = state.next_port;
         state.next_port += 1;
@@ -105,7 +106,7 @@
         let flow = Flow {
             phase: Phase::Opening,
             route,
-            is_long,
+            pause,
             isn,
             started: now,
             opened: None,
@@ -207,8 +208,8 @@
                     state.wrong += 1;
                     self.record.line(&format!("client flow {port} got a foreign answer: {text}"));
                 }
-                if flow.is_long {
-                    flow.next_request = Some(now + Duration::from_millis(300));
+                if let Some(pause) = flow.pause {
+                    flow.next_request = Some(now + pause);
                 } else {
                     let fin =
                         Packet::new(self.from(port), flow.route, ACK | FIN, flow.seq, flow.next);
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -49,12 +49,25 @@
         self.at(31 + index, 4)
     }
 
+    pub fn entries(&self) -> Vec<SocketAddrV4> {
+        vec![self.at(21, 0), self.at(22, 0)]
+    }
+
     pub fn route(&self, port: u16) -> SocketAddrV4 {
         SocketAddrV4::new(Self::ip(self.subnet, 240), port)
     }
 
     /// Starts the processes of the deploy file and waits until entries are ready and flows open.
     pub fn start(manifest: &dyn Fn(Ipv4Addr) -> String, record: &Record) -> Result<Self, Failure> {
+        Self::start_part(manifest, record, &[0, 1, 2])
+    }
+
+    /// Starts the deployment with some of its `side` machines only.
+    pub fn start_part(
+        manifest: &dyn Fn(Ipv4Addr) -> String,
+        record: &Record,
+        sides: &[u8],
+    ) -> Result<Self, Failure> {
         let mut random = Random::new();
         let (subnet, port) = free_subnet(&mut random)?;
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -82,9 +95,9 @@
         for index in 0..2 {
             cluster.start_entry(index)?;
         }
-        for index in 0..3 {
-            cluster.start_agent(index)?;
-            cluster.start_target(index)?;
+        for index in sides {
+            cluster.start_agent(*index)?;
+            cluster.start_target(*index, net::unix_ms())?;
         }
         let document = manifest(Self::ip(subnet, 240));
         cluster.order("PUT", "/hyssopdyke/config", &document, Duration::from_secs(15))?;
@@ -130,7 +143,7 @@
         self.spawn("control", &name, &settings)
     }
 
-    fn start_entry(&mut self, index: u8) -> Result<(), Failure> {
+    pub fn start_entry(&mut self, index: u8) -> Result<(), Failure> {
         let name = format!("edge-{}-1", ZONES[usize::from(index)]);
         let ip = Self::ip(self.subnet, 21 + index);
         let mut settings = self.common(&name, ZONES[usize::from(index)], ip);
@@ -162,7 +175,8 @@
         self.spawn("agent", &name, &settings)
     }
 
-    fn start_target(&mut self, index: u8) -> Result<(), Failure> {
+    /// Starts a target whose clock reads `born`.
+    pub fn start_target(&mut self, index: u8, born: u64) -> Result<(), Failure> {
         let settings = Settings {
             name: format!("t{index}"),
             service: SERVICE.to_string(),
@@ -174,7 +188,7 @@
             slots: 200,
         };
         let id = format!("i-7f3a91c{index}");
-        let target = Target::start(settings, &id, &self.record).map_err(|e| e.to_string())?;
+        let target = Target::start(settings, &id, born, &self.record).map_err(|e| e.to_string())?;
         self.targets.push(target);
         Ok(())
     }
@@ -198,6 +212,26 @@
         Ok(())
     }
 
+    /// Sends a signal to a process that this run has started.
+    pub fn signal(&self, name: &str, signal: &str) -> Result<(), Failure> {
+        let process = self.processes.iter().find(|process| process.name == name);
+        let id = process.ok_or("no such process")?.child.id().to_string();
+        Command::new("kill").args([signal, &id]).status().map_err(|error| error.to_string())?;
+        self.record.line(&format!("process {name} gets a signal {signal}"));
+        Ok(())
+    }
+
+    /// Sends a signal to a process that this run has started, and waits for its end.
+    pub fn end(&mut self, name: &str, signal: &str) -> Result<(), Failure> {
+        let position = self.processes.iter().position(|process| process.name == name);
+        let mut process = self.processes.swap_remove(position.ok_or("no such process")?);
+        let id = process.child.id().to_string();
+        Command::new("kill").args([signal, &id]).status().map_err(|error| error.to_string())?;
+        process.child.wait().map_err(|error| error.to_string())?;
+        self.record.line(&format!("process {name} has ended after a signal {signal}"));
+        Ok(())
+    }
+
     /// Returns the names of the processes that have ended by themselves, and how.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
@@ -265,7 +299,12 @@
     }
 
     /// Opens long flows until `count` of them are open.
-    pub fn open_long(&self, route: SocketAddrV4, count: usize) -> Result<(), Failure> {
+    pub fn open_long(
+        &self,
+        route: SocketAddrV4,
+        count: usize,
+        pause: Duration,
+    ) -> Result<(), Failure> {
         let start = Instant::now();
         while self.clients.count(Phase::Open) < count {
             if start.elapsed() > Duration::from_secs(15) {
@@ -275,7 +314,7 @@
                 .saturating_sub(self.clients.count(Phase::Open))
                 .saturating_sub(self.clients.count(Phase::Opening));
             for _ in 0..missing.min(2) {
-                self.clients.open(route, true);
+                self.clients.open(route, Some(pause));
             }
             std::thread::sleep(Duration::from_millis(20));
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,6 +27,9 @@
         "foreign-report" => cases::foreign_report(&record, has_trouble),
         "failback" => cases::failback(&record, has_trouble),
         "invalid-manifest" => cases::invalid_manifest(&record, has_trouble),
+        "crash" => cases::crash(&record, has_trouble),
+        "clock-step" => cases::clock_step(&record, has_trouble),
+        "experiment" => cases::experiment(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match result {
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -62,13 +62,18 @@
 const WORK: Duration = Duration::from_millis(10);
 
 impl Target {
-    pub fn start(settings: Settings, id: &str, record: &Record) -> std::io::Result<Self> {
+    pub fn start(
+        settings: Settings,
+        id: &str,
+        born: u64,
+        record: &Record,
+    ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(settings.app)?;
         socket.set_read_timeout(Some(Duration::from_millis(2)))?;
         net::serve_health(settings.app)?;
         let state = State {
             id: id.to_string(),
-            born: net::unix_ms(),
+            born,
             seq: 0,
             phase: "ready",
             cold_until: None,
@@ -88,7 +93,7 @@
             stop: Arc::new(AtomicBool::new(false)),
         };
         let name = &target.settings.name;
-        record.line(&format!("target {name} starts as {id}"));
+        record.line(&format!("target {name} starts as {id}, born {born}"));
         let packets = target.clone();
         std::thread::spawn(move || packets.run_packets(&socket));
         let beats = target.clone();
@@ -100,7 +105,19 @@
         self.stop.store(true, Ordering::Relaxed);
     }
 
-    /// Crashes and starts again under the same id: the new boot holds nothing of before.
+    /// Crashes and starts again at once as a new boot, which holds nothing of before. The first
+    /// report of the new boot is sent at its start.
+    pub fn restart(&self, id: &str, born: u64) {
+        let mut state = self.state.lock().unwrap();
+        state.id = id.to_string();
+        state.born = born;
+        state.seq = 0;
+        state.flows.clear();
+        drop(state);
+        self.record.line(&format!("target {} starts again as {id}", self.settings.name));
+        self.beat();
+    }
+
     pub fn open_flows(&self) -> usize {
         let state = self.state.lock().unwrap();
         state.flows.values().filter(|flow| flow.is_open && !flow.is_ended).count()
