--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -30,7 +30,9 @@
         let body = format!(
             "{{\"service\":\"wuno96b\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":1,\"born\":{}}}",
-            cluster.targets[0].settings.app, ZONES[0], net::unix_ms()
+            cluster.targets[0].settings.app,
+            ZONES[0],
+            net::unix_ms()
         );
         let path = "/hyssopdyke/targets/i-0therwr1t";
         let second = Duration::from_secs(1);
@@ -172,7 +174,7 @@
         record.line("the clock of the added machine steps back by 2,400 ms");
     }
     for zone in ZONES {
-        cluster.end(&format!("side-{zone}-1"), "-KILL")?;
+        cluster.kill(&format!("side-{zone}-1"))?;
     }
     for index in 0..3 {
         cluster.start_agent(index)?;
@@ -272,7 +274,8 @@
          \"service\":\"{second}\",\"traffic_split\":[{{\"service\":\"{SERVICE}\",\"weight\":100}}],\
          \"max_attempts\":2}},"
     );
-    let document = manifest(9, host, 2.0, 0.0).replace("\"routes\":[", &format!("\"routes\":[{route}"));
+    let document =
+        manifest(9, host, 2.0, 0.0).replace("\"routes\":[", &format!("\"routes\":[{route}"));
     record.line(&format!("the operator sends {document}"));
     let limit = Duration::from_secs(5);
     let sent = cluster.order("PUT", "/hyssopdyke/config", &document, limit)?;
@@ -291,157 +294,31 @@
     })
 }
 
-/// Experiments.
-pub fn experiment(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
-    let which = std::env::var("WHICH").unwrap_or_default();
+/// All agents of a service get SIGTERM at the same moment and start again. No case of the review: on
+/// a small deployment, agents are restarted one at a time.
+pub fn restart_all(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
     let mut cluster = Cluster::start(&|host| manifest(7, host, 2.0, 0.0), record)?;
     let route = cluster.route(8443);
-    match which.as_str() {
-        "roll" => {
-            cluster.open_long(route, 60, Duration::from_millis(300))?;
-            cluster.open_long(route, 160, Duration::from_millis(2900))?;
-            seconds(2.0);
-            for round in 0..12u8 {
-                let index = round % 3;
-                let name = format!("side-{}-1", ZONES[usize::from(index)]);
-                cluster.end(&name, "-TERM")?;
-                seconds(0.5);
-                cluster.start_agent(index)?;
-                seconds(0.8);
-                if round % 4 == 3 {
-                    let index = round / 4 % 2;
-                    let name = format!("edge-{}-1", ZONES[usize::from(index)]);
-                    cluster.end(&name, "-TERM")?;
-                    seconds(0.5);
-                    cluster.start_entry(index)?;
-                }
-            }
-            seconds(8.0);
-        }
-        "herd" => {
-            // New boots of the targets.
-            for target in &cluster.targets {
-                let ahead: u64 = if has_trouble { 2400 } else { 0 };
-                target.restart(&format!("{}n", target.settings.name), net::unix_ms() + ahead);
-            }
-            seconds(0.2);
-            cluster.open_long(route, 60, Duration::from_millis(6500))?;
-            seconds(0.3);
-            for zone in ZONES {
-                cluster.end(&format!("side-{zone}-1"), "-KILL")?;
-            }
-            for index in 0..3 {
-                cluster.start_agent(index)?;
-            }
-            seconds(16.0);
-        }
-        "fuzz" => {
-            cluster.open_long(route, 30, Duration::from_millis(300))?;
-            let mut random = net::Random::new();
-            let own = std::net::UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-            let entries = cluster.entries();
-            let sides: Vec<_> = cluster.targets.iter().map(|t| t.settings.outbound).collect();
-            for n in 0..150_000u32 {
-                let to = match random.below(10) {
-                    0..8 => entries[(n % 2) as usize],
-                    _ => sides[(n % 3) as usize],
-                };
-                let mut bytes: Vec<u8> = (0..random.below(90)).map(|_| random.next() as u8).collect();
-                if random.below(4) > 0 && bytes.len() >= 32 {
-                    // A route that exists or not, sane length, odd flags and ends.
-                    let length = (bytes.len() - 32) as u16;
-                    bytes[18..20].copy_from_slice(&length.to_le_bytes());
-                    let dst = route.ip().to_bits().to_le_bytes();
-                    bytes[24..28].copy_from_slice(&dst);
-                    bytes[28..30].copy_from_slice(&8443u16.to_le_bytes());
-                    bytes[23] = 127;
-                    if random.below(3) == 0 {
-                        bytes[20..24].copy_from_slice(&dst);
-                    }
-                }
-                let _ = own.send_to(&bytes, to);
-                if n % 50 == 0 {
-                    std::thread::sleep(Duration::from_millis(2));
-                }
-            }
-            seconds(3.0);
-            record.line(&format!("ended: {:?}", cluster.ended()));
-            println!("ended {:?}, open {}", cluster.ended(), cluster.clients.count(Phase::Open));
-        }
-        "roll2" => {
-            // Two rolling restarts at once, of one machine at a time each, 1.2 s apart.
-            let pause: u64 = std::env::var("PAUSE").map_or(300, |text| text.parse().unwrap());
-            cluster.open_long(route, 120, Duration::from_millis(pause))?;
-            seconds(5.0);
-            for round in 0..6u8 {
-                let start = Instant::now();
-                let pair = [round % 3, (round + 1) % 3];
-                for index in pair {
-                    cluster.signal(&format!("side-{}-1", ZONES[usize::from(index)]), "-TERM")?;
-                }
-                for index in pair {
-                    cluster.end(&format!("side-{}-1", ZONES[usize::from(index)]), "-CONT")?;
-                }
-                seconds(0.3);
-                for index in pair {
-                    cluster.start_agent(index)?;
-                }
-                std::thread::sleep(Duration::from_millis(1200).saturating_sub(start.elapsed()));
-            }
-            seconds(10.0);
-        }
-        "roll3" => {
-            let pause: u64 = std::env::var("PAUSE").map_or(300, |text| text.parse().unwrap());
-            cluster.open_long(route, 120, Duration::from_millis(pause))?;
-            seconds(5.0);
-            for zone in ZONES {
-                cluster.signal(&format!("side-{zone}-1"), "-TERM")?;
-            }
-            for zone in ZONES {
-                cluster.end(&format!("side-{zone}-1"), "-CONT")?;
-            }
-            seconds(0.3);
-            for index in 0..3 {
-                cluster.start_agent(index)?;
-            }
-            seconds(10.0);
+    cluster.open_long(route, 120, Duration::from_millis(300))?;
+    seconds(5.0);
+    if has_trouble {
+        for zone in ZONES {
+            cluster.signal(&format!("side-{zone}-1"), "-TERM")?;
         }
-        "panic" => {
-            cluster.open_long(route, 30, Duration::from_millis(300))?;
-            let to = cluster.reports(0);
-            let body = "{\"service\":\"zz\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":1e22,\"seq\":1,\"born\":1900000000000}";
-            let answer = net::call(to, "PUT", "/hyssopdyke/targets/i-x", body, Duration::from_secs(1));
-            println!("{:?}", answer.ok().map(|answer| answer.status));
-            for _ in 0..8 {
-                seconds(1.0);
-                println!("ended {:?}, answers {}", cluster.ended(), cluster.clients.answers());
-            }
+        for zone in ZONES {
+            cluster.wait_end(&format!("side-{zone}-1"))?;
         }
-        "reports" => {
-            cluster.open_long(route, 30, Duration::from_millis(300))?;
-            let to = cluster.reports(0);
-            for (index, body) in [
-                "", "{", "[]", "null", "\u{1}\u{2}", "{\"service\":1}",
-                "{\"service\":\"zz\",\"address\":\"x\",\"zone\":\"y\",\"version\":\"v\",\"slots\":1,\"state\":\"zombie\",\"warmup_left_ms\":0,\"seq\":1,\"born\":1}",
-                "{\"service\":\"zz\",\"slots\":1,\"state\":\"ready\",\"warmup_left_ms\":null,\"seq\":1,\"born\":1}",
-                "{\"service\":\"zz\",\"slots\":1,\"state\":\"ready\",\"warmup_left_ms\":-5,\"seq\":1,\"born\":1}",
-                "{\"service\":\"zz\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":1e300,\"seq\":1,\"born\":1}",
-                "{\"service\":\"zz\",\"slots\":0,\"state\":\"draining\",\"warmup_left_ms\":1,\"seq\":1}",
-                "{\"service\":\"zz\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":1e22,\"seq\":1,\"born\":1900000000000}",
-            ].iter().enumerate() {
-                for method in ["PUT", "DELETE"] {
-                    if method == "DELETE" && index != 3 { continue; }
-                    let answer = net::call(to, method, "/hyssopdyke/targets/i-x", body, Duration::from_secs(1));
-                    let status = answer.ok().map(|answer| answer.status);
-                    println!("{method} {body} -> {status:?}; ended {:?}; open {}", cluster.ended(), cluster.clients.count(Phase::Open));
-                    seconds(0.2);
-                }
-            }
+        seconds(0.3);
+        for index in 0..3 {
+            cluster.start_agent(index)?;
         }
-        _ => return Err("which?".to_string()),
     }
+    seconds(10.0);
     cluster.summary();
     let state = cluster.clients.state.lock().unwrap();
     let resets = state.broken.iter().filter(|broken| !broken.by_target).count();
-    Ok(Verdict { is_broken: resets > 0, text: format!("{resets} resets") })
+    Ok(Verdict {
+        is_broken: resets > 0,
+        text: format!("{resets} of 120 open flows got a reset that their target did not send"),
+    })
 }
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -26,9 +26,6 @@
 #[derive(Debug, Clone)]
 pub struct Broken {
     pub at: Instant,
-    pub port: u16,
-    pub target: String,
-    pub opened: Instant,
     /// Whether the sum says that the target wrote it.
     pub by_target: bool,
 }
@@ -77,8 +74,7 @@
     ) -> std::io::Result<Self> {
         let socket = UdpSocket::bind(address)?;
         socket.set_read_timeout(Some(Duration::from_millis(2)))?;
-        let state =
-            State { flows: HashMap::new(), broken: Vec::new(), wrong: 0, next_port: 20000 };
+        let state = State { flows: HashMap::new(), broken: Vec::new(), wrong: 0, next_port: 20000 };
         let clients = Self {
             socket: Arc::new(socket),
             address,
@@ -164,16 +160,15 @@
                 Phase::Opening => flow.phase = Phase::Refused,
                 Phase::Open | Phase::Closing => {
                     let by_target = packet.sum == packet.right_sum() && packet.sum != 0;
-                    let opened = flow.opened.unwrap();
-                    let target = flow.target.clone();
-                    let age = now.duration_since(opened).as_millis();
+                    let target = &flow.target;
+                    let age = now.duration_since(flow.opened.unwrap()).as_millis();
                     self.record.line(&format!(
                         "client's open flow {port} at {target}, {age} ms old, got a reset \
                          (sum {}, by its target: {by_target})",
                         packet.sum
                     ));
                     flow.phase = Phase::Reset;
-                    state.broken.push(Broken { at: now, port, target, opened, by_target });
+                    state.broken.push(Broken { at: now, by_target });
                 }
                 _ => {}
             }
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -49,10 +49,6 @@
         self.at(31 + index, 4)
     }
 
-    pub fn entries(&self) -> Vec<SocketAddrV4> {
-        vec![self.at(21, 0), self.at(22, 0)]
-    }
-
     pub fn route(&self, port: u16) -> SocketAddrV4 {
         SocketAddrV4::new(Self::ip(self.subnet, 240), port)
     }
@@ -77,8 +73,7 @@
             SocketAddrV4::new(Self::ip(subnet, 21), port),
             SocketAddrV4::new(Self::ip(subnet, 22), port),
         ];
-        let clients =
-            Clients::start(client, entries, record).map_err(|error| error.to_string())?;
+        let clients = Clients::start(client, entries, record).map_err(|error| error.to_string())?;
         let record = record.clone();
         let mut cluster = Self {
             subnet,
@@ -90,7 +85,7 @@
             record,
         };
         for index in 0..3 {
-            cluster.start_control(index, true)?;
+            cluster.start_control(index)?;
         }
         for index in 0..2 {
             cluster.start_entry(index)?;
@@ -122,7 +117,7 @@
         seeds.join(",")
     }
 
-    pub fn start_control(&mut self, index: u8, is_first: bool) -> Result<(), Failure> {
+    fn start_control(&mut self, index: u8) -> Result<(), Failure> {
         let name = format!("core-{}-1", ZONES[usize::from(index)]);
         let ip = Self::ip(self.subnet, 11 + index);
         let data = self.folder.join(format!("data-{index}"));
@@ -137,13 +132,11 @@
             self.port + 6,
             self.seeds()
         );
-        if is_first {
-            settings += "form = true\n";
-        }
+        settings += "form = true\n";
         self.spawn("control", &name, &settings)
     }
 
-    pub fn start_entry(&mut self, index: u8) -> Result<(), Failure> {
+    fn start_entry(&mut self, index: u8) -> Result<(), Failure> {
         let name = format!("edge-{}-1", ZONES[usize::from(index)]);
         let ip = Self::ip(self.subnet, 21 + index);
         let mut settings = self.common(&name, ZONES[usize::from(index)], ip);
@@ -221,17 +214,21 @@
         Ok(())
     }
 
-    /// Sends a signal to a process that this run has started, and waits for its end.
-    pub fn end(&mut self, name: &str, signal: &str) -> Result<(), Failure> {
+    /// Waits for the end of a process.
+    pub fn wait_end(&mut self, name: &str) -> Result<(), Failure> {
         let position = self.processes.iter().position(|process| process.name == name);
         let mut process = self.processes.swap_remove(position.ok_or("no such process")?);
-        let id = process.child.id().to_string();
-        Command::new("kill").args([signal, &id]).status().map_err(|error| error.to_string())?;
         process.child.wait().map_err(|error| error.to_string())?;
-        self.record.line(&format!("process {name} has ended after a signal {signal}"));
+        self.record.line(&format!("process {name} has ended"));
         Ok(())
     }
 
+    /// Kills a process that this run has started.
+    pub fn kill(&mut self, name: &str) -> Result<(), Failure> {
+        self.signal(name, "-KILL")?;
+        self.wait_end(name)
+    }
+
     /// Returns the names of the processes that have ended by themselves, and how.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
@@ -352,9 +349,7 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
-        if std::env::var_os("KEEP").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -370,9 +365,8 @@
         let subnet = [127, 10 + random.below(240) as u8, 1 + random.below(250) as u8];
         let port = 20_000 + random.below(1_000) as u16 * 10;
         let is_free = |last: u8| {
-            (0..8).all(|offset| {
-                TcpListener::bind((Cluster::ip(subnet, last), port + offset)).is_ok()
-            })
+            (0..8)
+                .all(|offset| TcpListener::bind((Cluster::ip(subnet, last), port + offset)).is_ok())
         };
         if [11, 12, 13, 21, 22, 31, 32, 33, 200].into_iter().all(is_free) {
             return Ok((subnet, port));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,9 +1,9 @@
 //! Stand-ins of the review's cases: `standin CASE RECORD`. Exits with 1 if the rule was broken, 0 if
 //! it held, 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+mod cases;
 mod client;
 mod cluster;
-mod cases;
 mod net;
 mod target;
 
@@ -29,7 +29,7 @@
         "invalid-manifest" => cases::invalid_manifest(&record, has_trouble),
         "crash" => cases::crash(&record, has_trouble),
         "clock-step" => cases::clock_step(&record, has_trouble),
-        "experiment" => cases::experiment(&record, has_trouble),
+        "restart-all" => cases::restart_all(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     match result {
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -23,10 +23,6 @@
         let mut file = self.file.lock().unwrap();
         let _ = writeln!(file, "{at:>7} ms  {text}");
     }
-
-    pub fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
-    }
 }
 
 pub fn unix_ms() -> u64 {
@@ -102,7 +98,8 @@
                 let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
                 let mut buffer = [0; 2048];
                 if stream.read(&mut buffer).is_ok() {
-                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                    let answer =
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
                     let _ = stream.write_all(answer);
                 }
             });
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -105,19 +105,6 @@
         self.stop.store(true, Ordering::Relaxed);
     }
 
-    /// Crashes and starts again at once as a new boot, which holds nothing of before. The first
-    /// report of the new boot is sent at its start.
-    pub fn restart(&self, id: &str, born: u64) {
-        let mut state = self.state.lock().unwrap();
-        state.id = id.to_string();
-        state.born = born;
-        state.seq = 0;
-        state.flows.clear();
-        drop(state);
-        self.record.line(&format!("target {} starts again as {id}", self.settings.name));
-        self.beat();
-    }
-
     pub fn open_flows(&self) -> usize {
         let state = self.state.lock().unwrap();
         state.flows.values().filter(|flow| flow.is_open && !flow.is_ended).count()
@@ -134,19 +121,23 @@
             state.seq += 1;
             state.last_beat = Some(Instant::now());
             let now = Instant::now();
-            let left = state.cold_until.map_or(0, |until| {
-                until.saturating_duration_since(now).as_millis() as u64
-            });
+            let left = state
+                .cold_until
+                .map_or(0, |until| until.saturating_duration_since(now).as_millis() as u64);
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
                  \"slots\":{},\"state\":\"{}\",\"warmup_left_ms\":{left},\"seq\":{},\"born\":{}}}",
-                settings.service, settings.app, settings.zone, settings.slots, state.phase,
-                state.seq, state.born
+                settings.service,
+                settings.app,
+                settings.zone,
+                settings.slots,
+                state.phase,
+                state.seq,
+                state.born
             );
             (format!("/hyssopdyke/targets/{}", state.id), body)
         };
-        let answer =
-            net::call(settings.control, "PUT", &path, &body, Duration::from_secs(1)).ok();
+        let answer = net::call(settings.control, "PUT", &path, &body, Duration::from_secs(1)).ok();
         let status = answer.map(|answer| answer.status);
         if status.is_some_and(|status| (200..300).contains(&status)) {
             self.state.lock().unwrap().acks += 1;
@@ -166,7 +157,8 @@
             }
             let status = self.beat();
             // An agent that is not listening yet is called again soon.
-            due = now + if status.is_none() { Duration::from_millis(300) } else { self.settings.beat };
+            due = now
+                + if status.is_none() { Duration::from_millis(300) } else { self.settings.beat };
         }
     }
 
