--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -322,3 +322,53 @@
         text: format!("{resets} of 120 open flows got a reset that their target did not send"),
     })
 }
+
+/// Another writer reports to an agent like a target with a service that nobody named, while the
+/// agent's true target drains. No case of the review: the cause is that of `foreign_report`.
+pub fn foreign_drain(record: &Record, has_trouble: bool) -> Result<Verdict, Failure> {
+    let cluster = Cluster::start(&|host| manifest(7, host, 2.0, 0.0), record)?;
+    let route = cluster.route(8443);
+    let path = "/hyssopdyke/targets/i-0therwr1t";
+    let second = Duration::from_secs(1);
+    let born = net::unix_ms();
+    let target = &cluster.targets[0];
+    let start = Instant::now();
+    let (mut flows, mut reports, mut acknowledged) = (0, 0, None);
+    while start.elapsed() < Duration::from_secs(12) {
+        cluster.clients.open(route, None);
+        flows += 1;
+        if has_trouble && start.elapsed() >= BEAT * reports {
+            reports += 1;
+            let body = format!(
+                "{{\"service\":\"wuno96b\",\"address\":\"{}\",\"zone\":\"{}\",\
+                 \"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,\
+                 \"seq\":{reports},\"born\":{born}}}",
+                target.settings.app, ZONES[0]
+            );
+            let answer = net::call(cluster.reports(0), "PUT", path, &body, second);
+            let status = answer.ok().map(|answer| answer.status);
+            record.line(&format!("another writer PUT {path} {body} -> {status:?}"));
+        }
+        if acknowledged.is_none() && start.elapsed() > Duration::from_secs(4) {
+            target.state.lock().unwrap().phase = "draining";
+            let status = target.beat();
+            if status != Some(200) {
+                return Err(format!("the draining report got {status:?}"));
+            }
+            acknowledged = Some(Instant::now());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    seconds(1.0);
+    cluster.summary();
+    let from = acknowledged.ok_or("no draining report")? + Duration::from_secs(3);
+    let state = target.state.lock().unwrap();
+    let late = state.openings.iter().filter(|(at, _)| *at > from).count();
+    Ok(Verdict {
+        is_broken: late > 0,
+        text: format!(
+            "of {flows} flows, {late} reached the target later than drain_ms (3,000) after its \
+             draining report was acknowledged"
+        ),
+    })
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -29,6 +29,7 @@
         "invalid-manifest" => cases::invalid_manifest(&record, has_trouble),
         "crash" => cases::crash(&record, has_trouble),
         "clock-step" => cases::clock_step(&record, has_trouble),
+        "foreign-drain" => cases::foreign_drain(&record, has_trouble),
         "restart-all" => cases::restart_all(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
