feat(agent): searches tell what members know of a flow's owner

Logs showed "flow searched" and "unknown flow reset" at the home, and nothing of why the members that it asked did not know the flow; nor did anything show flows that an agent reports as its own at its stop without a confirmation of their callers.

New: event "searched flow has an absent owner" with the owner and the time of its absence, counter searched.absent, and the flows and unconfirmed flows in "agent leaves".

--- a/crates/hyssopctl/src/timeline/why.rs
+++ b/crates/hyssopctl/src/timeline/why.rs
@@ -41,12 +41,13 @@
 }
 
 /// Events that decide the outcome of a flow, in order of precedence.
-const DECIDING_EVENTS: [(&str, Cause); 11] = [
+const DECIDING_EVENTS: [(&str, Cause); 12] = [
     ("flow refused", Cause::NoSlot),
     ("flow ended with its upstream", Cause::UpstreamEnded),
     ("flow failed at the upstream", Cause::UpstreamFailed),
     ("unknown flow reset", Cause::UnknownFlow),
     ("packet waits for its owner", Cause::OwnerMissing),
+    ("searched flow has an absent owner", Cause::OwnerMissing),
     ("flow searched", Cause::OwnerMissing),
     ("packet has no route", Cause::NoRoute),
     ("packet has no member to go to", Cause::NoRoute),
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -108,7 +108,8 @@
         result = worker.run(&mut session) => return result,
         () = stop.requested() => {}
     }
-    info!(events.logger(), "agent leaves");
+    let (open, unconfirmed) = worker.count_flows();
+    info!(events.logger(), "agent leaves"; "flows" => open, "unconfirmed" => unconfirmed);
     worker.drain_reports(&mut session).await?;
     session.leave().await;
     info!(events.logger(), "agent stopped");
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -56,6 +56,12 @@
                 let owner = *owner;
                 return self.send(owner, Body::Forward(Forward { hops: 0, ..search }));
             }
+            Some(Record::Owned { owner, absent_since: Some(since), .. }) => {
+                let (owner, absent) = (*owner, clock::now().duration_since(*since));
+                self.metrics.count("searched.absent");
+                unusual!(self.events, "searched flow has an absent owner"; "flow" => %flow,
+                    "owner" => &*self.vm_name(owner), "absent_ms" => absent.as_millis() as u64);
+            }
             Some(Record::Offered(_)) => return,
             _ => {}
         }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -600,6 +600,13 @@
         }
     }
 
+    /// Returns the number of flows that are not closed, and how many of them their callers have not
+    /// confirmed.
+    pub(super) fn count_flows(&self) -> (usize, usize) {
+        let open = || self.table.iter().filter(|(_, state)| !state.is_closed());
+        (open().count(), open().filter(|(_, state)| !state.is_confirmed()).count())
+    }
+
     fn current_usage(&self) -> Usage {
         Usage {
             connections: self.table.connections(),
--- a/crates/hyssopdyked/src/metrics/names.rs
+++ b/crates/hyssopdyked/src/metrics/names.rs
@@ -194,6 +194,13 @@
         "searches for the owner of a flow among all members",
         "rises without restarts",
     ),
+    metric(
+        Counter,
+        "searched.absent",
+        "agent",
+        "searches for flows on record whose owner is not a member",
+        "rises while no agent restarts",
+    ),
     metric(
         Counter,
         "reset.unknown",
