fix(agent,control): a search ends in a reset only if no agent that may own the flow is about to return

What callers saw: open job feeds and cue streams were reset while agents were restarted as planned, though their upstreams were sound.

Cause: a home that has no record of a flow asks the members and resets the caller once all have answered. The answers were no proof. (1) A member that has the flow on record answered that it is unknown while the owner is not a member, that is, for as long as the owner restarts; in all 16 resets that were followed, members that were asked knew the owner. (2) A home searched as soon as it had the members' own flows, before the former homes' records had come. (3) An agent that restarts was no member and so was not asked; if its records were lost, nothing told that it may own the flow. The class of fault: absence of an answer from a process that is down is taken for its answer.

Change: (1) a member that knows an absent owner does not answer. (2) Records count among the reports that a home waits for. (3) An agent tells control at its stop whether its upstream goes on. Control keeps its resource, marked as away, until it is back or for 30 s, as long as records of absent owners are kept; while a group has an agent away, members answer no search that they cannot answer from a record, and no caller is reset for a flow without one, in either form of packets. The knowledge is part of the revisioned state, so that a home that has just started has it as well. An agent whose upstream has ended is not waited for.

Why it works: each process that may hold the flow has now either answered or is waited for. Callers that use flows which nobody holds are told later, at most 30 s, while an agent restarts.

--- a/crates/hyssopdyke/src/version/pool.rs
+++ b/crates/hyssopdyke/src/version/pool.rs
@@ -60,6 +60,8 @@
     pub members: Vec<Member>,
     /// Upstreams whose failure domains were taken out, by id.
     pub out_members: Vec<Member>,
+    /// VMs whose agents have stopped and are expected back, and whose upstreams may hold flows.
+    pub away: Vec<vm::Id>,
 }
 
 impl Pool {
--- a/crates/hyssopdyke/src/version/registry.rs
+++ b/crates/hyssopdyke/src/version/registry.rs
@@ -280,6 +280,7 @@
                     return Outcome::Recorded;
                 }
                 new.incarnation = revision;
+                new.away = false;
                 new.state = former.state;
                 if former.service != new.service {
                     self.record_member_change(&former.service, revision);
@@ -314,14 +315,19 @@
                 Body::Deleted(Kind::Entry as i32)
             }
             Some(Body::Upstream(upstream)) if upstream.boot == unregister.boot => {
-                self.record_member_change(&upstream.service, revision);
+                if upstream.boot != 0 {
+                    self.record_member_change(&upstream.service, revision);
+                }
                 // The resource of a draining upstream is kept, so that the upstream is still
-                // draining when its agent registers again.
-                if upstream.state() == State::Draining {
+                // draining when its agent registers again, and that of an agent that is expected
+                // back, so that no flow of its upstream counts as unknown meanwhile.
+                let away = unregister.returns;
+                if away || upstream.state() == State::Draining {
                     let (boot, address) = (0, String::new());
                     Body::Upstream(hyssopdyke_wire::resource::Upstream {
                         boot,
                         address,
+                        away,
                         ..upstream
                     })
                 } else {
--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -194,6 +194,10 @@
                 continue;
             };
             let Some(member) = member(&resource.name, upstream) else {
+                let group = groups.group_of(&upstream.service).filter(|_| upstream.away);
+                if let Some(pool) = group.and_then(|group| pools.get_mut(group)) {
+                    pool.away.push(vm::id(&resource.name));
+                }
                 continue;
             };
             self.boots.insert(upstream.boot);
@@ -314,6 +318,7 @@
             services: BTreeMap::new(),
             members: Vec::new(),
             out_members: Vec::new(),
+            away: Vec::new(),
         });
         pool.epoch = pool.epoch.max(service.epoch);
         pool.home_epoch = pool.home_epoch.max(service.home_epoch);
--- a/crates/hyssopdyke/tests/reports.rs
+++ b/crates/hyssopdyke/tests/reports.rs
@@ -64,7 +64,8 @@
     }
 
     fn unregister(&mut self, index: usize, boot: u64) {
-        let unregister = Unregister { kind: Kind::Upstream as i32, name: name(index), boot };
+        let kind = Kind::Upstream as i32;
+        let unregister = Unregister { kind, name: name(index), boot, ..Unregister::default() };
         self.registry.apply(Command { body: Some(command::Body::Unregister(unregister)) });
     }
 
--- a/crates/hyssopdyke/tests/version.rs
+++ b/crates/hyssopdyke/tests/version.rs
@@ -140,7 +140,7 @@
 
 fn unregister(name: &str, boot: u64) -> Command {
     let kind = Kind::Upstream as i32;
-    let unregister = Unregister { kind, name: name.into(), boot };
+    let unregister = Unregister { kind, name: name.into(), boot, ..Unregister::default() };
     Command { body: Some(command::Body::Unregister(unregister)) }
 }
 
@@ -183,6 +183,32 @@
     assert_eq!(service.generation, 1, "a change of members changed the service's generation");
 }
 
+#[test]
+fn unregister_returning() {
+    // A restarting agent was forgotten at once, so that its upstream's flows counted as unknown.
+    let mut registry = Registry::new();
+    registry.apply(write("k", None, service("s")));
+    registry.apply(register("a", 1, 1));
+    let returning = |boot| {
+        let (kind, name) = (Kind::Upstream as i32, "a".into());
+        let unregister = Unregister { kind, name, boot, returns: true };
+        Command { body: Some(command::Body::Unregister(unregister)) }
+    };
+    let pool = |registry: &Registry| View::new(registry.store()).pool("s").unwrap().clone();
+    registry.apply(returning(1));
+    let restored = Registry::restore(registry.snapshot(9, 1));
+    for registry in [&registry, &restored] {
+        assert_eq!((pool(registry).members.len(), &*pool(registry).away), (0, &[vm::id("a")][..]));
+    }
+    registry.apply(register("a", 2, 1));
+    assert_eq!((pool(&registry).members.len(), pool(&registry).away.len()), (1, 0));
+    registry.apply(returning(2));
+    let epoch = pool(&registry).epoch;
+    registry.apply(unregister("a", 0));
+    assert_eq!((pool(&registry).away.len(), pool(&registry).epoch), (0, epoch));
+    assert!(registry.store().get(Kind::Upstream, "a").is_none());
+}
+
 #[test]
 fn unregister_draining() {
     let mut registry = Registry::new();
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -7,15 +7,12 @@
 use hyssopdyke::request::{Packet, PacketCodec};
 use hyssopdyke_wire::datagram::{Forward, Unknown, datagram::Body};
 
+use super::RETURN_TIMEOUT;
 use super::worker::Worker;
 use crate::clock;
 use crate::log::unusual;
 use crate::node::decode_address;
 
-/// Time for which the records of flows are kept after their owner has left the membership, so that
-/// the owner may return.
-const ABSENT_OWNER_RETENTION: Duration = Duration::from_secs(30);
-
 /// Time for which a member keeps copies of records that others keep since a change of the homes, or
 /// that a leaving member has sent, in case those are lost before they have reported.
 const COPY_RETENTION: Duration = Duration::from_secs(10);
@@ -74,6 +71,8 @@
             self.place(flow, forward.packet, entry, held);
         } else if !C::CAN_RESET_OPEN_FLOWS {
             self.start_search(flow, &forward);
+        } else if self.awaits_return() {
+            self.metrics.count("dropped.absent");
         } else {
             self.reset_unknown(&flow, packet);
         }
@@ -103,7 +102,7 @@
     /// Removes the records of flows whose owners did not return in time, and old copies of records
     /// that other members keep.
     pub(super) fn sweep_records(&mut self, now: Instant) {
-        self.directory.expire_absent(now, ABSENT_OWNER_RETENTION);
+        self.directory.expire_absent(now, RETURN_TIMEOUT);
         self.directory.expire_copies(now, COPY_RETENTION);
     }
 }
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod worker;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use hyssopdyke::request::{PacketCodec, Tunneled};
@@ -25,6 +26,7 @@
 use slog::info;
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::log::Events;
 use crate::metrics::Metrics;
 use crate::node::{Announcement, Link, Membership, Server, Session, Tunnel};
@@ -33,6 +35,10 @@
 use crate::stop::Stop;
 use worker::{Sockets, Worker};
 
+/// Time within which an agent that has stopped is expected back at its upstream. Until then, the
+/// upstream's flows are kept.
+pub(crate) const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Maximum number of upstream reports that wait to be handled.
 const MAX_QUEUED_REPORTS: usize = 16;
 
@@ -111,7 +117,7 @@
     let (open, unconfirmed) = worker.count_flows();
     info!(events.logger(), "agent leaves"; "flows" => open, "unconfirmed" => unconfirmed);
     worker.drain_reports(&mut session).await?;
-    session.leave().await;
+    session.leave(worker.has_upstream(clock::now())).await;
     info!(events.logger(), "agent stopped");
     Ok(())
 }
--- a/crates/hyssopdyked/src/agent/peers_tests.rs
+++ b/crates/hyssopdyked/src/agent/peers_tests.rs
@@ -34,6 +34,7 @@
         services: BTreeMap::new(),
         members,
         out_members: vec![member(4, "a")],
+        away: Vec::new(),
     }
 }
 
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -46,12 +46,16 @@
             || !C::CAN_RESET_OPEN_FLOWS && self.has_reachable_flow_reports(now)
     }
 
-    /// Returns whether all reachable agents have reported their flows, including those in failure
-    /// domains that are out.
+    /// Returns whether all reachable agents have reported their flows and their records, including
+    /// those in failure domains that are out.
     fn has_reachable_flow_reports(&self, now: Instant) -> bool {
         let (Some(pool), Some(epoch)) = (&self.pool, self.report_epoch()) else { return false };
-        let reachable = self.peers.reachable_members(pool, self.own_id, now);
-        self.owned_barrier.is_complete(epoch, reachable.filter(|vm| *vm != self.own_id))
+        let reachable = || {
+            let members = self.peers.reachable_members(pool, self.own_id, now);
+            members.filter(|vm| *vm != self.own_id)
+        };
+        self.owned_barrier.is_complete(epoch, reachable())
+            && self.records_barrier.is_complete_since(epoch, reachable())
     }
 
     /// Returns the revision from which on this agent needs the reports of the other members.
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -33,9 +33,9 @@
         self.metrics.count("searched");
         unusual!(self.events, "flow searched"; "flow" => %flow, "members" => members.len());
         for member in members {
-            if member == self.own_id {
+            if member == self.own_id && !self.awaits_return() {
                 self.query_upstream(flow, &forward.packet, self.own_id);
-            } else {
+            } else if member != self.own_id {
                 let packet = forward.packet.clone();
                 let request = Forward { packet, search: true, hops: 1, ..Forward::default() };
                 self.send(member, Body::Forward(request));
@@ -43,10 +43,17 @@
         }
     }
 
+    /// Returns whether an agent of the group is expected back, whose upstream may hold any flow
+    /// without a record.
+    pub(super) fn awaits_return(&self) -> bool {
+        self.pool.as_ref().is_some_and(|pool| !pool.away.is_empty())
+    }
+
     /// Handles the search of a home: asks the owner, if this agent has placed the flow in place of
     /// that home, and otherwise the upstream, if it may hold the flow.
     ///
-    /// An owner reports the flow to its home itself. A flow that is being placed is not answered for.
+    /// An owner reports the flow to its home itself. There is no answer for a flow that is being
+    /// placed, nor for one whose owner may be back soon.
     pub(super) fn handle_search(&mut self, flow: Flow, search: Forward, from: SocketAddr) {
         match self.directory.get(&flow) {
             // Two outdated records may name each other's agents, so a search is passed on once.
@@ -59,10 +66,11 @@
             Some(Record::Owned { owner, absent_since: Some(since), .. }) => {
                 let (owner, absent) = (*owner, clock::now().duration_since(*since));
                 self.metrics.count("searched.absent");
-                unusual!(self.events, "searched flow has an absent owner"; "flow" => %flow,
+                return unusual!(self.events, "searched flow has an absent owner"; "flow" => %flow,
                     "owner" => &*self.vm_name(owner), "absent_ms" => absent.as_millis() as u64);
             }
             Some(Record::Offered(_)) => return,
+            _ if self.awaits_return() => return self.metrics.count("searched.away"),
             _ => {}
         }
         match self.peers.id(from) {
@@ -117,6 +125,9 @@
         if !self.searches.record_miss(flow, member, clock::now()) || self.membership.is_behind() {
             return;
         }
+        if self.awaits_return() {
+            return self.metrics.count("searched.away");
+        }
         let Ok(packet) = self.codec.parse(packet) else {
             return self.metrics.count("dropped.malformed");
         };
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -88,13 +88,13 @@
         } else if !is_upstream_present && !self.is_leaving {
             info!(self.events.logger(), "agent leaves with its upstream");
             self.drain_reports(session).await?;
-            session.leave().await;
+            session.leave(false).await;
         }
         Ok(())
     }
 
     /// Returns whether an upstream is present, or may be present but has not reported yet.
-    fn has_upstream(&self, now: Instant) -> bool {
+    pub(super) fn has_upstream(&self, now: Instant) -> bool {
         let is_starting =
             now.duration_since(self.started.0) < self.settings.heartbeat * STARTUP_HEARTBEATS;
         self.settings.reports.is_none() || self.upstream.is_present(now, is_starting)
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -422,6 +422,63 @@
     harness.receive_at_peer(0, miss).await;
 }
 
+#[tokio::test]
+async fn search_absent_owner() {
+    // Open flows were reset while their owner restarted: members that had the flow on record answered
+    // that they do not serve it, because the owner was not a member.
+    let mut harness = Harness::open().await;
+    let port = harness.port_at_home(Harness::id(0));
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    harness.worker.directory.record_owner(flow, Harness::id(1), CALLER_ISN);
+    harness.change_members(|pool| pool.members.retain(|member| member.vm != Harness::id(1)));
+    let search = Forward { packet: request, search: true, hops: 1, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(search)).await;
+    let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
+    let answer = harness.receive_at_peer(0, miss);
+    assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
+}
+
+#[tokio::test]
+async fn search_agent_away() {
+    // Open flows were reset while their owner restarted and no member had a record of them.
+    let mut harness = Harness::open().await;
+    harness.change_members(|pool| pool.away.push(vm::id("vm-3")));
+    let port = harness.port_at_home(harness.worker.own_id);
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    harness.send_from_peer(0, forward(request.clone())).await;
+    for peer in [0, 1] {
+        harness.send_from_peer(peer, search_miss(flow, request.clone())).await;
+    }
+    assert!(Harness::is_silent(&harness.caller).await, "reset while an agent is expected back");
+    // Nor does this agent answer for others.
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    let search = Forward { packet: request, search: true, hops: 1, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(search)).await;
+    let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
+    let answer = harness.receive_at_peer(0, miss);
+    assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
+}
+
+#[tokio::test]
+async fn search_before_records() {
+    // Open flows were reset by a new home before the former homes' records had reached it.
+    let mut harness = Harness::open().await;
+    let port = harness.port_at_home(harness.worker.own_id);
+    let request = harness.request(port, OTHER_UPSTREAM_ISN);
+    harness.worker.records_barrier = Barrier::new();
+    harness.worker.settled_epoch = None;
+    harness.send_from_peer(0, forward(request.clone())).await;
+    let search = harness.receive_at_peer(1, search_request);
+    assert!(timeout(SILENCE_WAIT, search).await.is_err(), "searched without the records");
+    for peer in [0, 1] {
+        let epoch = harness.worker.pool.as_ref().unwrap().epoch;
+        let stage = Stage::Records as i32;
+        let report = Report { epoch, parts: 1, stage, ..Report::default() };
+        harness.send_from_peer(peer, Body::Report(report)).await;
+    }
+    assert_eq!(harness.receive_at_peer(1, search_request).await.packet, request);
+}
+
 #[tokio::test]
 async fn search_behind_peer() {
     // A peer with a newer revision may have a member that was not asked, so the caller is not
--- a/crates/hyssopdyked/src/control/leases.rs
+++ b/crates/hyssopdyked/src/control/leases.rs
@@ -11,6 +11,7 @@
 use tokio::time::interval;
 
 use super::handle::Handle;
+use crate::agent::RETURN_TIMEOUT;
 use crate::clock;
 use crate::log::Events;
 
@@ -106,10 +107,7 @@
         if expired.len() > valid && valid + expired.len() > SMALL_SYSTEM_DAEMONS {
             return Vec::new();
         }
-        expired
-            .into_iter()
-            .map(|(kind, name, boot)| Unregister { kind: kind as i32, name: name.into(), boot })
-            .collect()
+        expired.into_iter().map(|(kind, name, boot)| unregister(kind, &name, boot)).collect()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<DaemonId, Renewal>> {
@@ -134,8 +132,36 @@
         .map(|(kind, resource, boot)| (kind, resource.name.as_str().into(), boot))
 }
 
-/// Unregisters daemons whose lease has expired while this VM leads.
+/// Builds the command by which a daemon ends that does not return.
+fn unregister(kind: Kind, name: &str, boot: u64) -> Unregister {
+    Unregister { kind: kind as i32, name: name.into(), boot, returns: false }
+}
+
+/// Agents that have stopped and are expected back, with the time since which this VM knows that.
+#[derive(Debug, Default)]
+struct Absences {
+    since: HashMap<Box<str>, Instant>,
+}
+
+impl Absences {
+    /// Returns the agents that did not return in time.
+    fn expired(&mut self, store: &Store, now: Instant) -> Vec<Unregister> {
+        let away = store.list(Kind::Upstream).filter_map(|resource| match &resource.body {
+            Some(Body::Upstream(upstream)) if upstream.away => Some(resource.name.as_str()),
+            _ => None,
+        });
+        let former = std::mem::take(&mut self.since);
+        let since = |name: &str| former.get(name).copied().unwrap_or(now);
+        self.since = away.map(|name| (name.into(), since(name))).collect();
+        let is_expired = |since: Instant| now.duration_since(since) >= RETURN_TIMEOUT;
+        let expired = self.since.iter().filter(|(_, since)| is_expired(**since));
+        expired.map(|(name, _)| unregister(Kind::Upstream, name, 0)).collect()
+    }
+}
+
+/// Unregisters daemons whose lease has expired, and agents that did not return, while this VM leads.
 pub(super) async fn expire(handle: Handle, leases: Arc<Leases>, events: Events) {
+    let mut absences = Absences::default();
     let mut ticks = interval(CHECK_INTERVAL);
     let mut last = clock::now();
     let mut resumed = last;
@@ -149,10 +175,16 @@
         last = now;
         let since = handle.leadership.borrow().since;
         let Some(since) = since else { continue };
-        let expired = leases.expired(handle.registry().await.store(), since.max(resumed), now);
+        let mut expired = leases.expired(handle.registry().await.store(), since.max(resumed), now);
         for unregister in &expired {
             info!(events.logger(), "lease ended"; "daemon" => unregister.name.as_str());
         }
+        let absent = absences.expired(handle.registry().await.store(), now);
+        for unregister in &absent {
+            info!(events.logger(), "agent did not return"; "daemon" => unregister.name.as_str(),
+                "after_s" => RETURN_TIMEOUT.as_secs());
+        }
+        expired.extend(absent);
         // The leases of a failure domain may expire together; their commands share a sync of the
         // log. Without a majority the daemons stay registered, and the next check retries.
         let proposals = expired
@@ -161,3 +193,7 @@
         futures_util::future::join_all(proposals).await;
     }
 }
+
+#[cfg(test)]
+#[path = "leases_tests.rs"]
+mod tests;
--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -8,7 +8,7 @@
 use hyssopdyke::version::Registry;
 use hyssopdyke_wire::ledger::{Register, Unregister, command};
 use hyssopdyke_wire::resource::{Kind, Resource, resource};
-use hyssopdyke_wire::session::{Frame, Granted, Hello, Refused, Renew, frame, hello};
+use hyssopdyke_wire::session::{Frame, Granted, Hello, Leave, Refused, Renew, frame, hello};
 use hyssopdyke_wire::{Codec, Error as WireError, Key};
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
@@ -156,8 +156,8 @@
                         cursor = send_changes(&mut stream, &handle, cursor).await?;
                         grant_lease(&mut stream, &daemon, &handle, &leases, renew).await?;
                     }
-                    Some(frame::Body::Leave(_)) => {
-                        unregister(&daemon, &handle).await?;
+                    Some(frame::Body::Leave(leave)) => {
+                        unregister(&daemon, &handle, leave).await?;
                         return Err(End::Left);
                     }
                     _ => {}
@@ -206,11 +206,12 @@
     send(stream, frame::Body::Granted(granted)).await
 }
 
-async fn unregister(daemon: &Daemon, handle: &Handle) -> Result<(), End> {
+async fn unregister(daemon: &Daemon, handle: &Handle, leave: Leave) -> Result<(), End> {
     let unregister = Unregister {
         kind: daemon.kind as i32,
         name: daemon.resource.name.clone(),
         boot: daemon.boot,
+        returns: leave.returns,
     };
     handle.propose(command::Body::Unregister(unregister)).await?;
     Ok(())
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -90,7 +90,7 @@
         result = worker.drain(&mut session) => result?,
         () = sleep(role.grace.saturating_sub(LEAVE_TIMEOUT)) => {}
     }
-    session.leave().await;
+    session.leave(false).await;
     info!(events.logger(), "entry stopped");
     Ok(())
 }
--- a/crates/hyssopdyked/src/metrics/names.rs
+++ b/crates/hyssopdyked/src/metrics/names.rs
@@ -201,6 +201,13 @@
         "searches for flows on record whose owner is not a member",
         "rises while no agent restarts",
     ),
+    metric(
+        Counter,
+        "searched.away",
+        "agent",
+        "searches without a result because an agent is expected back",
+        "rises while no agent restarts",
+    ),
     metric(
         Counter,
         "reset.unknown",
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -73,7 +73,8 @@
 pub(crate) struct Session {
     updates: mpsc::Receiver<Update>,
     report: watch::Sender<Report>,
-    stop: watch::Sender<bool>,
+    /// Set when the daemon leaves; tells whether its upstream goes on without it.
+    leave: watch::Sender<Option<Leave>>,
     /// Client from which another session can be started.
     client: Client,
     task: JoinHandle<()>,
@@ -89,7 +90,7 @@
     ) -> Self {
         let (sender, updates) = mpsc::channel(UPDATE_QUEUE_LENGTH);
         let (report, reports) = watch::channel(Report::default());
-        let (stop, stopped) = watch::channel(false);
+        let (leave, left) = watch::channel(None);
         let client = Client {
             key: Key::derive(&cluster.passphrase, Purpose::Session),
             control,
@@ -98,11 +99,11 @@
             announcement,
             updates: sender,
             reports,
-            stopped,
+            left,
             events,
         };
         let task = tokio::spawn(client.clone().run());
-        Self { updates, report, stop, client, task }
+        Self { updates, report, leave, client, task }
     }
 
     /// Waits for the next update.
@@ -124,12 +125,13 @@
         });
     }
 
-    /// Returns the lease to control and ends the session.
-    pub(crate) async fn leave(&mut self) {
+    /// Returns the lease to control and ends the session. `returns` tells whether the daemon's
+    /// upstream goes on without it.
+    pub(crate) async fn leave(&mut self, returns: bool) {
         if self.task.is_finished() {
             return;
         }
-        self.stop.send_replace(true);
+        self.leave.send_replace(Some(Leave { returns }));
         // Updates are no longer needed, and a full queue must not block the task.
         while self.updates.try_recv().is_ok() {}
         let _ = timeout(ANSWER_TIMEOUT, &mut self.task).await;
@@ -138,7 +140,7 @@
 
     /// Starts another session after [`leave`](Self::leave).
     pub(crate) fn rejoin(&mut self) {
-        self.stop.send_replace(false);
+        self.leave.send_replace(None);
         self.task = tokio::spawn(self.client.clone().run());
     }
 }
@@ -161,7 +163,7 @@
     announcement: Announcement,
     updates: mpsc::Sender<Update>,
     reports: watch::Receiver<Report>,
-    stopped: watch::Receiver<bool>,
+    left: watch::Receiver<Option<Leave>>,
     events: Events,
 }
 
@@ -213,7 +215,7 @@
             };
             tokio::select! {
                 () = sleep(pause) => {}
-                () = wait_until_set(&mut self.stopped) => return,
+                _ = wait_until_left(&mut self.left) => return,
             }
         }
     }
@@ -272,7 +274,7 @@
     ) -> Result<End, End> {
         let mut renewals = interval(RENEWAL_INTERVAL);
         let mut reports = self.reports.clone();
-        let mut stopped = self.stopped.clone();
+        let mut left = self.left.clone();
         let mut sequence = 0;
         let mut unanswered: VecDeque<(u64, Instant)> = VecDeque::new();
         loop {
@@ -318,9 +320,8 @@
                         _ => {}
                     }
                 }
-                () = wait_until_set(&mut stopped) => {
-                    let leave = Frame { body: Some(frame::Body::Leave(Leave {})) };
-                    stream.send(leave).await?;
+                leave = wait_until_left(&mut left) => {
+                    stream.send(Frame { body: Some(frame::Body::Leave(leave)) }).await?;
                     stream.close().await?;
                     return Err(End::Stopped);
                 }
@@ -351,7 +352,7 @@
     }
 }
 
-/// Waits until the flag is set or its sender is dropped.
-async fn wait_until_set(flag: &mut watch::Receiver<bool>) {
-    let _ = flag.wait_for(|set| *set).await;
+/// Waits until the daemon leaves, or is dropped.
+async fn wait_until_left(left: &mut watch::Receiver<Option<Leave>>) -> Leave {
+    left.wait_for(Option::is_some).await.ok().and_then(|leave| *leave).unwrap_or_default()
 }
--- a/crates/xtask/src/membership.rs
+++ b/crates/xtask/src/membership.rs
@@ -147,7 +147,8 @@
     fn leave(&mut self, index: usize) {
         let view = View::new(self.registry.store());
         let boot = view.pool("s").and_then(|pool| pool.member(id(index))).map_or(0, |m| m.boot);
-        let unregister = Unregister { kind: Kind::Upstream as i32, name: name(index), boot };
+        let kind = Kind::Upstream as i32;
+        let unregister = Unregister { kind, name: name(index), boot, ..Unregister::default() };
         apply(&mut self.registry, command::Body::Unregister(unregister));
         self.plans.remove(&id(index));
     }
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -218,6 +218,7 @@
             incarnation: 1,
             state: State::Active as i32,
             bounded_homes: true,
+            away: false,
         };
         put(format!("upstream-{upstream}"), Body::Upstream(body));
     }
