fix(agent): an agent that stops does not hand over flows that their callers may use elsewhere

What callers saw: packets of open flows went to another upstream, which does not hold them, for seconds.

Cause: copies of a flow's first packet reach several agents while offers go unanswered. Each keeps its copy until the caller confirms one. An agent that stopped reported all of them as its own, and its next process took them over as open flows, beside the agent that the caller really uses. The class of fault: a tentative state is handed over as a settled one.

Change: final reports name confirmed flows only. Copies that another owner is known for, or that were not confirmed within 300 ms, are reported as ended, so that no home gives them back. Full reports to homes leave out flows that another owner is known for.

Why it works: a flow that was open was confirmed; a handshake in progress is still on record at its home.

Test: final_reports_unconfirmed (without the change it reports both flows as opened). Ruled out: adoption as unconfirmed, since flows that pause would then be dropped as unconfirmed.

--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -11,7 +11,8 @@
 use hyssopdyke_wire::datagram::{Record, Report, Reported, Stage, datagram::Body};
 use slog::info;
 
-use super::worker::{PendingRecords, Worker};
+use super::upstream::CONFIRM_TIMEOUT;
+use super::worker::Worker;
 use crate::clock;
 use crate::log::unusual;
 
@@ -136,11 +137,20 @@
     /// Queues reports of all records to every home before this agent stops.
     ///
     /// Several agents may stop at the same time, among them a flow's owner and the holder of its
-    /// record.
+    /// record. Flows that their callers most likely use at another upstream are reported as ended:
+    /// the next process must not take them over.
     pub(super) fn queue_final_reports(&mut self) {
         let Some(pool) = self.pool.clone() else { return };
-        let owned = self.table.iter().filter(|(_, state)| !state.is_closed());
+        let now = clock::now();
+        let open = || self.table.iter().filter(|(_, state)| !state.is_closed());
+        let owned = open().filter(|(_, state)| is_settled::<C>(state));
         let owned = owned.map(|(flow, state)| self.record(flow, state.isn));
+        let abandoned = open().filter(|(_, state)| !is_settled::<C>(state));
+        let abandoned = abandoned.filter(|(_, state)| {
+            state.is_contested() || now.duration_since(state.admitted_at) >= CONFIRM_TIMEOUT
+        });
+        let abandoned: Vec<Record> =
+            abandoned.map(|(flow, state)| self.record(flow, state.isn)).collect();
         let recorded = self.directory.iter().filter_map(|(flow, record)| match record {
             connection::Record::Owned { owner, isn, custody: Custody::Kept, .. } => {
                 Some(wire_record(flow, *isn, *owner))
@@ -150,15 +160,28 @@
         let records: Vec<Record> = owned.chain(recorded).collect();
         let own_id = self.own_id;
         for home in pool.homes.iter().copied().filter(|home| *home != own_id) {
-            for chunk in records.chunks(MAX_RECORDS_PER_REPORT) {
-                let (epoch, opened) = (pool.epoch, chunk.to_vec());
-                self.outbox.push(home, |sequence| Report {
-                    sequence,
-                    epoch,
-                    opened,
-                    ..Report::default()
-                });
+            self.queue_changes(home, pool.epoch, &records, &abandoned);
+        }
+    }
+
+    /// Queues reports of flows that were opened and flows that have ended.
+    fn queue_changes(&mut self, to: vm::Id, epoch: u64, opened: &[Record], ended: &[Record]) {
+        let mut opened = opened.chunks(MAX_RECORDS_PER_REPORT);
+        let mut ended = ended.chunks(MAX_RECORDS_PER_REPORT);
+        loop {
+            let (opened, ended) = (opened.next(), ended.next());
+            if opened.is_none() && ended.is_none() {
+                break;
             }
+            let opened = opened.unwrap_or_default().to_vec();
+            let ended = ended.unwrap_or_default().to_vec();
+            self.outbox.push(to, |sequence| Report {
+                sequence,
+                epoch,
+                opened,
+                ended,
+                ..Report::default()
+            });
         }
     }
 
@@ -167,7 +190,8 @@
         let own_id = self.own_id;
         for Due { to, epoch } in self.report_plan.take_due_owned(pool, own_id) {
             let owned = self.table.iter().filter(|(flow, state)| {
-                !state.is_closed() && pool.is_record_holder(self.hash(flow), own_id, to)
+                let is_open = !state.is_closed() && !state.is_contested();
+                is_open && pool.is_record_holder(self.hash(flow), own_id, to)
             });
             let owned: Vec<Record> =
                 owned.map(|(flow, state)| self.record(flow, state.isn)).collect();
@@ -240,24 +264,7 @@
     pub(super) fn flush_pending_records(&mut self) {
         let epoch = self.pool.as_ref().map_or(0, |pool| pool.epoch);
         for (to, pending) in std::mem::take(&mut self.pending_records) {
-            let PendingRecords { opened, ended } = pending;
-            let mut opened = opened.chunks(MAX_RECORDS_PER_REPORT);
-            let mut ended = ended.chunks(MAX_RECORDS_PER_REPORT);
-            loop {
-                let (opened, ended) = (opened.next(), ended.next());
-                if opened.is_none() && ended.is_none() {
-                    break;
-                }
-                let opened = opened.unwrap_or_default().to_vec();
-                let ended = ended.unwrap_or_default().to_vec();
-                self.outbox.push(to, |sequence| Report {
-                    sequence,
-                    epoch,
-                    opened,
-                    ended,
-                    ..Report::default()
-                });
-            }
+            self.queue_changes(to, epoch, &pending.opened, &pending.ended);
         }
     }
 
@@ -379,6 +386,12 @@
     }
 }
 
+/// Returns whether the caller of a flow certainly uses this agent's upstream: where callers may be
+/// offered several, they have to confirm one.
+fn is_settled<C: PacketCodec>(state: &connection::State) -> bool {
+    !C::RESOLVES_DUPLICATE_OPENS || state.is_confirmed()
+}
+
 /// Returns whether the owner of a record is one of `members`.
 fn is_owned_by(record: &connection::Record, members: &[Member]) -> bool {
     matches!(record, connection::Record::Owned { owner, .. }
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -36,7 +36,7 @@
 
 /// Time within which a caller confirms a flow that was opened for it: one round trip and one
 /// retransmission of a lost packet.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
 impl<C: PacketCodec> Worker<C> {
     /// Applies a report of the upstream, and acknowledges it afterwards.
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -616,6 +616,35 @@
     assert!(harness.worker.outbox.is_empty());
 }
 
+#[tokio::test]
+async fn final_reports_unconfirmed() {
+    // Copies of a flow's first packet were admitted by two agents. The one that the caller does not
+    // use reported the flow as its own when it stopped, took it over when it started, and got the
+    // caller's packets.
+    let mut harness = Harness::open().await;
+    for (port, home) in [(1001, 0), (1002, 1)] {
+        harness.open_flow(port, home).await;
+    }
+    let (unused, used) = (harness.flow(1001), harness.flow(1002));
+    let other = Owner { flow: Some(unused.into()), vm: Harness::id(1), waiting: false };
+    harness.send_from_peer(0, Body::Owner(other)).await;
+    let request = harness.request(1002, UPSTREAM_ISN);
+    harness.send_from_peer(0, forward(request)).await;
+    harness.worker.outbox.retain(|_, _| false);
+    harness.worker.is_leaving = true;
+    harness.worker.queue_final_reports();
+    harness.worker.send_reports();
+    let final_report = |body| match body {
+        Body::Report(report) => Some(report),
+        _ => None,
+    };
+    let report = harness.receive_at_peer(0, final_report).await;
+    let flows = |records: &[Record]| -> Vec<Flow> {
+        records.iter().map(|record| Flow::try_from(record.flow.as_ref()).unwrap()).collect()
+    };
+    assert_eq!((flows(&report.opened), flows(&report.ended)), (vec![used], vec![unused]));
+}
+
 #[tokio::test]
 async fn join_settled_home() {
     // A member joins and has not reported yet. The homes are the same, so that a packet of an
