fix(agent): a restarted agent asks its upstream before it says that a flow is unknown

Cause: an agent answered searches with "unknown" from its start until its upstream's first report, up to one heartbeat later, though its upstream held the flows. Same class as the searches that ended without the owner: an answer that rests on nothing.

Change: the agent sends the packet to its upstream unless the upstream has ended, or would have reported since the start of the process. An upstream that does not hold the flow returns the packet; one that is silent leaves the search without a result.

Two worker tests had an upstream without reports stand for one without flows; they use the upstream that has reported now, which is answered for at once, and assert the same.

--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -89,10 +89,11 @@
         self.send_to(from, Body::Unknown(Unknown { flow, searched: true, packet }));
     }
 
-    /// Sends the upstream a packet, which it returns if it does not hold the flow.
+    /// Sends the upstream a packet, which it returns if it does not hold the flow. An upstream that has
+    /// not reported to this process yet may hold it as well.
     fn query_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
         let now = clock::now();
-        if !self.may_have_unknown_flows(now) || !self.upstream.is_alive(now) {
+        if !self.may_have_unknown_flows(now) || self.has_no_upstream(now) {
             return self.report_missed(flow, home, bytes);
         }
         self.upstream_searches
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -417,11 +417,33 @@
     // The record was stale: the next search is answered.
     harness.send_from_peer(1, search_miss(flow, request.clone())).await;
     let search = Forward { packet: request, search: true, ..Forward::default() };
-    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
     harness.send_from_peer(0, Body::Forward(search)).await;
     harness.receive_at_peer(0, miss).await;
 }
 
+#[tokio::test]
+async fn search_before_first_report() {
+    // All agents of a service were restarted together. Until the upstreams' first reports, each answered
+    // that its upstream holds none of the open flows.
+    let mut harness = Harness::open().await;
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    let port = harness.port_at_home(Harness::id(0));
+    let (request, flow) = (harness.request(port, UPSTREAM_ISN), harness.flow(port));
+    let search = Forward { packet: request.clone(), search: true, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(search)).await;
+    assert_eq!(Harness::receive(&harness.upstream).await, request);
+    let miss = |body| match body {
+        Body::Unknown(unknown) if unknown.searched => Some(unknown.flow),
+        _ => None,
+    };
+    let early = harness.receive_at_peer(0, miss);
+    assert!(timeout(SILENCE_WAIT, early).await.is_err(), "answered for the upstream");
+    let mut returned = request.to_vec();
+    returned[12] |= RETURNED;
+    harness.send_from_upstream(&returned).await;
+    assert_eq!(harness.receive_at_peer(0, miss).await, Some(flow.into()));
+}
+
 #[tokio::test]
 async fn search_absent_owner() {
     // Open flows were reset while their owner restarted: members that had the flow on record answered
@@ -451,7 +473,6 @@
     }
     assert!(Harness::is_silent(&harness.caller).await, "reset while an agent is expected back");
     // Nor does this agent answer for others.
-    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
     let search = Forward { packet: request, search: true, hops: 1, ..Forward::default() };
     harness.send_from_peer(0, Body::Forward(search)).await;
     let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
