fix(agent): whether an upstream is older than its agent does not rest on the time of day

Cause: a restarted agent compared its upstream's start by the time of day with its own. After the step, the upstream looked younger than the agent, so that it could not hold flows of a former process, and the agent answered searches for it.

Change: the time of day alone never makes an upstream younger. It must also have sent its first report of all to this process (reports are numbered from 1), or be cold for so short a time that it started after the agent, by the remaining warm-up, which is a duration. After a loss of power, both start together and the first call finds no agent; there the warm-up decides, so that such agents are still not asked about each lost flow.

Ruled out: the number alone (costs searches after each loss of power), and a step seen by the agent itself (it may come before its start).

--- a/crates/hyssopdyke/src/process/upstream.rs
+++ b/crates/hyssopdyke/src/process/upstream.rs
@@ -8,6 +8,13 @@
 /// Missed heartbeats after which an upstream counts as ended without having reported it.
 const ENDED_HEARTBEATS: u32 = 12;
 
+/// Time between the end of an agent's process and the start of the next one on the same VM, at least.
+/// After a loss of power, upstream and agent start together, in any order.
+const MIN_RESTART: Duration = Duration::from_millis(250);
+
+/// Sequence number of an upstream's first report.
+const FIRST_SEQUENCE: u64 = 1;
+
 /// Phase in the life of an upstream, as the upstream reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -70,10 +77,29 @@
     Started,
 }
 
+/// Start of the agent's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessStart {
+    /// By the clock that does not jump.
+    pub at: Instant,
+    /// By the time of day, as Unix time in milliseconds.
+    pub unix_ms: u64,
+}
+
+/// First report of an upstream's process to the agent's process.
+#[derive(Debug)]
+struct FirstReport {
+    report: UpstreamReport,
+    at: Instant,
+    /// Whether the upstream has replaced one that had reported to the agent's process.
+    is_successor: bool,
+}
+
 /// Status of the upstream that an agent serves, derived from its reports.
 #[derive(Debug)]
 pub struct Upstream {
     interval: Duration,
+    first: Option<FirstReport>,
     last: Option<UpstreamReport>,
     reported_at: Option<Instant>,
     cold_until: Option<Instant>,
@@ -84,7 +110,7 @@
     /// `interval`.
     #[must_use]
     pub const fn new(interval: Duration) -> Self {
-        Self { interval, last: None, reported_at: None, cold_until: None }
+        Self { interval, first: None, last: None, reported_at: None, cold_until: None }
     }
 
     /// Applies a report and returns what it changed.
@@ -110,6 +136,10 @@
             Some(last) if last.phase != report.phase => Change::Phase,
             Some(_) => Change::Capacity,
         };
+        if matches!(change, Change::First | Change::Started) {
+            let is_successor = change == Change::Started;
+            self.first = Some(FirstReport { report: report.clone(), at: now, is_successor });
+        }
         self.reported_at = Some(now);
         self.cold_until = Some(now + report.warmup_left).filter(|_| !report.warmup_left.is_zero());
         let former = self.last.replace(report);
@@ -151,6 +181,24 @@
         last.phase != Phase::Gone && now.duration_since(at) < timeout
     }
 
+    /// Returns whether the upstream may have started before the agent's process, so that a former
+    /// process may have served it. `warmup` is the time for which an upstream is cold after its start.
+    ///
+    /// The time of day may have jumped between the two starts, so that it is not enough that it
+    /// tells of a later start of the upstream: the upstream must also have sent its first report to
+    /// this process, or be cold for so short a time that it must have started later.
+    #[must_use]
+    pub fn may_predate(&self, process: ProcessStart, warmup: Duration) -> bool {
+        let Some(FirstReport { report, at, is_successor }) = &self.first else { return true };
+        if *is_successor || report.sequence <= FIRST_SEQUENCE {
+            return false;
+        }
+        let latest_age = at.saturating_duration_since(process.at) + MIN_RESTART;
+        let age = warmup.checked_sub(report.warmup_left).filter(|_| !report.warmup_left.is_zero());
+        let former_process_end = process.unix_ms.saturating_sub(MIN_RESTART.as_millis() as u64);
+        report.started_ms < former_process_end || age.is_none_or(|age| age > latest_age)
+    }
+
     /// Returns whether the upstream is cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hyssopdyke::process::{
-    Barrier, Change, EventLimiter, HoldQueue, Lease, Limit, Outbox, Phase, Queued, Reachability,
-    Shaper, Suspects, Upstream, UpstreamReport, WarmupLimiter,
+    Barrier, Change, EventLimiter, HoldQueue, Lease, Limit, Outbox, Phase, ProcessStart, Queued,
+    Reachability, Shaper, Suspects, Upstream, UpstreamReport, WarmupLimiter,
 };
 use hyssopdyke::request::{Candidate, Scheduler, Segment};
 use rand::SeedableRng;
@@ -281,6 +281,34 @@
     assert_eq!(upstream.report(report("b", 30, 1, Phase::Serving), start), Change::Started);
 }
 
+#[test]
+fn upstream_start_unclear() {
+    // The time of day stepped back between the starts of an upstream and of a restarted agent, which
+    // took the upstream for a new one and its flows for unknown.
+    let start = ProcessStart { at: Instant::now(), unix_ms: 10_000 };
+    let reported = start.at + SECOND;
+    let warmup = 2 * SECOND;
+    let may_predate = |started_ms, sequence, warmup_left| {
+        let mut upstream = Upstream::new(SECOND);
+        let report =
+            UpstreamReport { warmup_left, ..report("a", started_ms, sequence, Phase::Serving) };
+        upstream.report(report, reported);
+        upstream.may_predate(start, warmup)
+    };
+    assert!(may_predate(12_000, 2, Duration::ZERO), "a clock that was set back was trusted");
+    assert!(may_predate(8_000, 2, Duration::ZERO));
+    // The first report of all: no other process has served the upstream.
+    assert!(!may_predate(8_000, 1, Duration::ZERO));
+    // After a loss of power, both start together, and the upstream's first call finds no agent.
+    assert!(!may_predate(9_990, 2, SECOND * 3 / 2));
+    assert!(may_predate(9_990, 2, SECOND / 10), "cold for longer than the agent runs");
+    assert!(Upstream::new(SECOND).may_predate(start, warmup));
+    let mut upstream = Upstream::new(SECOND);
+    upstream.report(report("a", 8_000, 7, Phase::Serving), reported);
+    upstream.report(report("b", 12_000, 3, Phase::Serving), reported);
+    assert!(!upstream.may_predate(start, warmup), "the former one has reported to this process");
+}
+
 #[test]
 fn upstream_clock_set_back() {
     // The upstream's clock was set back, so that the new process seems older than the former one.
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -23,10 +23,6 @@
 /// Heartbeats after the start of a process without a report after which there is no upstream.
 const MISSED_HEARTBEATS: u32 = 2;
 
-/// Minimum time in milliseconds between the end of an agent's process and the start of the next one on
-/// the same VM. After a loss of power, upstream and agent start together, in any order.
-const MIN_RESTART_MS: u64 = 250;
-
 /// Age after which a flow counts as ended even if neither end has closed it.
 const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
 
@@ -96,7 +92,7 @@
     /// Returns whether an upstream is present, or may be present but has not reported yet.
     pub(super) fn has_upstream(&self, now: Instant) -> bool {
         let is_starting =
-            now.duration_since(self.started.0) < self.settings.heartbeat * STARTUP_HEARTBEATS;
+            now.duration_since(self.started.at) < self.settings.heartbeat * STARTUP_HEARTBEATS;
         self.settings.reports.is_none() || self.upstream.is_present(now, is_starting)
     }
 
@@ -125,19 +121,15 @@
     /// started before this process, so that a former process may have served it, and some of its
     /// flows from that time may still be open.
     pub(super) fn may_have_unknown_flows(&self, now: Instant) -> bool {
-        let former_process_end = self.started.1.saturating_sub(MIN_RESTART_MS);
-        let is_older = match self.upstream.last_report() {
-            Some(report) => report.started_ms < former_process_end,
-            None => true,
-        };
-        is_older && now.duration_since(self.started.0) < MAX_FLOW_AGE
+        let is_older = self.upstream.may_predate(self.started, self.capacity().warmup);
+        is_older && now.duration_since(self.started.at) < MAX_FLOW_AGE
     }
 
     /// Returns whether this agent has no upstream: the upstream has ended, or would have reported since
     /// the start of this process.
     pub(super) fn has_no_upstream(&self, now: Instant) -> bool {
         let is_late =
-            now.duration_since(self.started.0) >= self.settings.heartbeat * MISSED_HEARTBEATS;
+            now.duration_since(self.started.at) >= self.settings.heartbeat * MISSED_HEARTBEATS;
         let never_reported = self.upstream.last_report().is_none() && is_late;
         self.settings.reports.is_some() && (self.upstream.is_gone() || never_reported)
     }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Searches, Table};
-use hyssopdyke::process::{Barrier, HoldQueue, Limit, Outbox, ReportPlan, Upstream, WarmupLimiter};
+use hyssopdyke::process::{
+    Barrier, HoldQueue, Limit, Outbox, ProcessStart, ReportPlan, Upstream, WarmupLimiter,
+};
 use hyssopdyke::request::{Packet, PacketCodec, Scheduler};
 use hyssopdyke::version::{Pool, Route};
 use hyssopdyke::vm;
@@ -78,8 +80,7 @@
     pub(super) own_id: vm::Id,
     /// Identity of the process, chosen at random at its start.
     pub(super) process_identity: u64,
-    /// Start of the process, as an instant and as Unix time in milliseconds.
-    pub(super) started: (Instant, u64),
+    pub(super) started: ProcessStart,
     pub(super) domain: Box<str>,
     pub(super) settings: Agent,
     pub(super) link: Link,
@@ -163,7 +164,7 @@
             ready: watch::Sender::new(false),
             own_id: vm::id(&common.vm.name),
             process_identity,
-            started: (clock::now(), unix_millis()),
+            started: ProcessStart { at: clock::now(), unix_ms: unix_millis() },
             domain: common.vm.domain.clone(),
             settings,
             flow_hash_keys: link.flow_hash_keys(),
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -832,7 +832,7 @@
     let early = harness.receive_at_peer(0, miss);
     assert!(timeout(SILENCE_WAIT, early).await.is_err(), "the upstream may still report");
     harness.worker.settings.heartbeat = Duration::from_millis(1);
-    harness.worker.started.0 = clock::now().checked_sub(Duration::from_secs(1)).unwrap();
+    harness.worker.started.at = clock::now().checked_sub(Duration::from_secs(1)).unwrap();
     harness.send_from_peer(0, Body::Forward(search())).await;
     assert_eq!(harness.receive_at_peer(0, miss).await, Some(flow.into()));
 }
