fix(platform): a heartbeat with numbers out of range is rejected and ends no agent

Cause: the remaining warm-up was added to the present instant without a bound. The class of fault: values from outside that are decoded by shape and not by range.

The library adds the warm-up without overflow.

--- a/crates/hyssopdyke/src/process/upstream.rs
+++ b/crates/hyssopdyke/src/process/upstream.rs
@@ -141,7 +141,8 @@
             self.first = Some(FirstReport { report: report.clone(), at: now, is_successor });
         }
         self.reported_at = Some(now);
-        self.cold_until = Some(now + report.warmup_left).filter(|_| !report.warmup_left.is_zero());
+        let is_cold = !report.warmup_left.is_zero();
+        self.cold_until = now.checked_add(report.warmup_left).filter(|_| is_cold);
         let former = self.last.replace(report);
         if let (Some(last), Some(former)) = (&mut self.last, former)
             && last.phase == Phase::Gone
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -40,7 +40,7 @@
         let now = clock::now();
         let (report, acknowledge) = match delivery {
             Delivery::Report(report, acknowledge) => (report, acknowledge),
-            Delivery::Malformed(error) => {
+            Delivery::Rejected(error) => {
                 self.metrics.count("reports.unreadable");
                 unusual!(self.events, "upstream report rejected"; "reason" => %error);
                 return;
