fix(agent): an upstream whose failure domain comes back counts as cold until it reports

Cause: whether an upstream is cold is known from its last report. It may have become cold since, while its failure domain was out, and the domain may be back before its next report.

Change: as its domain comes back, an upstream counts as cold until its next report, so that the declared rate holds. A warm one gets less than its share for one heartbeat at most.

--- a/crates/hyssopdyke/src/process/upstream.rs
+++ b/crates/hyssopdyke/src/process/upstream.rs
@@ -103,6 +103,8 @@
     last: Option<UpstreamReport>,
     reported_at: Option<Instant>,
     cold_until: Option<Instant>,
+    /// Whether the upstream counts as cold until its next report.
+    is_warmth_unknown: bool,
 }
 
 impl Upstream {
@@ -110,7 +112,14 @@
     /// `interval`.
     #[must_use]
     pub const fn new(interval: Duration) -> Self {
-        Self { interval, first: None, last: None, reported_at: None, cold_until: None }
+        Self {
+            interval,
+            first: None,
+            last: None,
+            reported_at: None,
+            cold_until: None,
+            is_warmth_unknown: false,
+        }
     }
 
     /// Applies a report and returns what it changed.
@@ -141,6 +150,7 @@
             self.first = Some(FirstReport { report: report.clone(), at: now, is_successor });
         }
         self.reported_at = Some(now);
+        self.is_warmth_unknown = false;
         let is_cold = !report.warmup_left.is_zero();
         self.cold_until = now.checked_add(report.warmup_left).filter(|_| is_cold);
         let former = self.last.replace(report);
@@ -200,10 +210,15 @@
         report.started_ms < former_process_end || age.is_none_or(|age| age > latest_age)
     }
 
-    /// Returns whether the upstream is cold.
+    /// Lets the upstream count as cold until its next report: it may have become cold since the last.
+    pub const fn forget_warmth(&mut self) {
+        self.is_warmth_unknown = true;
+    }
+
+    /// Returns whether the upstream is or may be cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
+        self.is_warmth_unknown || self.cold_until.is_some_and(|until| now < until)
     }
 
     /// Returns the last report.
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -309,6 +309,22 @@
     assert!(!upstream.may_predate(start, warmup), "the former one has reported to this process");
 }
 
+#[test]
+fn upstream_cold_until_report() {
+    // An upstream that became cold while its failure domain was out got its full share as soon as the
+    // domain was back, until its next report.
+    let start = Instant::now();
+    let mut upstream = Upstream::new(SECOND);
+    upstream.report(report("a", 10, 1, Phase::Serving), start);
+    assert!(!upstream.is_cold(start));
+    upstream.forget_warmth();
+    assert!(upstream.is_cold(start));
+    upstream.report(report("a", 10, 1, Phase::Serving), start);
+    assert!(upstream.is_cold(start), "a late report says nothing of the present");
+    upstream.report(report("a", 10, 2, Phase::Serving), start);
+    assert!(!upstream.is_cold(start));
+}
+
 #[test]
 fn upstream_clock_set_back() {
     // The upstream's clock was set back, so that the new process seems older than the former one.
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -506,7 +506,11 @@
         self.is_member = self.pool.as_ref().is_some_and(|pool| {
             pool.member(self.own_id).is_some_and(|member| member.boot == self.process_identity)
         });
+        let was_domain_out = self.is_domain_out;
         self.is_domain_out = !C::CAN_RESET_OPEN_FLOWS && view.is_out(&self.domain);
+        if was_domain_out && !self.is_domain_out && self.settings.reports.is_some() {
+            self.upstream.forget_warmth();
+        }
         if was_member && view.is_out(&self.domain) {
             self.handle_domain_out();
         }
