--- a/crates/hyssopdyked/src/control/consensus/mod.rs
+++ b/crates/hyssopdyked/src/control/consensus/mod.rs
@@ -197,7 +197,12 @@
     /// until the disk works again.
     pub(super) async fn run(mut self) -> Result<(), JournalError> {
         loop {
-            match self.serve_next().await {
+            // Before the next request, which fails while the disk is not repaired.
+            let served = match self.repair_disk() {
+                Ok(()) => self.serve_next().await,
+                Err(error) => Err(error),
+            };
+            match served {
                 Ok(true) => {}
                 Ok(false) => return Ok(()),
                 Err(error @ (JournalError::Io { .. } | JournalError::Failed)) => {
@@ -222,7 +227,6 @@
             }
             () = sleep_until(deadline.into()) => {}
         }
-        self.repair_disk()?;
         if Instant::now() >= self.deadline {
             self.handle_deadline()?;
         }
@@ -237,7 +241,12 @@
             self.metrics.count("disk_failed");
             warn!(self.events.logger(), "disk failed"; "reason" => %error);
         }
-        self.repair_at = Some(Instant::now() + DISK_RETRY_INTERVAL);
+        let next_repair = Instant::now() + DISK_RETRY_INTERVAL;
+        self.repair_at = match error {
+            // The journal was not written to: the time of the next attempt stays.
+            JournalError::Failed => self.repair_at.or(Some(next_repair)),
+            _ => Some(next_repair),
+        };
         if !matches!(self.role, Role::Follower) {
             self.step_down(None);
         }
@@ -349,3 +358,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "disk_tests.rs"]
+mod disk_tests;
