fix(agent,entry): a stop is noticed under load

What callers saw: agents that were asked to stop went on for 5 to 6 s and were killed at the end of their grace time, without their last reports.

Cause: an agent handles its sockets and waits for the request to stop in one task. As long as a socket is readable, the inner loop goes on, and the outer wait gets its turn late or never; the same holds for the timeout of the last reports. The class of fault: a wait that depends on the idleness of the work beside it.

Change: the loops of agents and entries return to their task within a bounded number of steps, and waits for a stop are polled first.

Failed try: a test of the worker alone with a flooded socket passed without the change, and was left out; which of the two parts of the change does more was not told apart.

--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -112,8 +112,9 @@
     let router = readiness::router(worker.readiness());
     let _readiness = Server::bind("[agent] readiness", readiness, router).await?;
     tokio::select! {
-        result = worker.run(&mut session) => return result,
+        biased;
         () = stop.requested() => {}
+        result = worker.run(&mut session) => return result,
     }
     let (open, unconfirmed) = worker.count_flows();
     info!(events.logger(), "agent leaves"; "flows" => open, "unconfirmed" => unconfirmed);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -23,6 +23,7 @@
 use rand::rngs::SmallRng;
 use slog::{debug, info, warn};
 use tokio::sync::{mpsc, watch};
+use tokio::task::consume_budget;
 use tokio::time::{Interval, interval};
 
 use super::peers::Peers;
@@ -229,6 +230,8 @@
     /// Handles the next event: a message, a packet or report of the upstream, an update of control,
     /// or a tick.
     async fn serve_next(&mut self, session: &mut Session, ticks: &mut Interval) -> Result<()> {
+        // Sockets that are always readable must not keep a stop or a timeout from being noticed.
+        consume_budget().await;
         tokio::select! {
             ready = self.link.readable() => { ready?; self.receive_datagrams()?; }
             ready = self.answers.readable() => { ready?; self.receive_answers()?; }
--- a/crates/hyssopdyked/src/command.rs
+++ b/crates/hyssopdyked/src/command.rs
@@ -179,8 +179,9 @@
         let (stop, interrupted) = Stop::spawn()?;
         let control = reload::spawn(path, &settings, events.clone())?;
         tokio::select! {
-            result = run(settings, events, control, stop) => result.map(|()| true),
+            biased;
             () = interrupted => Ok(false),
+            result = run(settings, events, control, stop) => result.map(|()| true),
         }
     });
     runtime.shutdown_background();
--- a/crates/hyssopdyked/src/entry/mod.rs
+++ b/crates/hyssopdyked/src/entry/mod.rs
@@ -82,13 +82,15 @@
     let router = readiness::router(worker.subscribe_readiness());
     let _readiness = Server::bind("[entry] readiness", role.readiness, router).await?;
     tokio::select! {
-        result = worker.run(&mut session) => return result,
+        biased;
         () = stop.requested() => {}
+        result = worker.run(&mut session) => return result,
     }
     info!(events.logger(), "entry leaves");
     tokio::select! {
-        result = worker.drain(&mut session) => result?,
+        biased;
         () = sleep(role.grace.saturating_sub(LEAVE_TIMEOUT)) => {}
+        result = worker.drain(&mut session) => result?,
     }
     session.leave(false).await;
     info!(events.logger(), "entry stopped");
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -15,6 +15,7 @@
 use hyssopdyke_wire::resource::Usage;
 use slog::{debug, info, warn};
 use tokio::sync::watch;
+use tokio::task::consume_budget;
 use tokio::time::{Interval, interval, sleep};
 
 use crate::clock;
@@ -185,6 +186,8 @@
     }
 
     async fn serve_next(&mut self, session: &mut Session, timers: &mut Timers) -> Result<()> {
+        // Sockets that are always readable must not keep a stop or a timeout from being noticed.
+        consume_budget().await;
         let delay = self.queue_delay();
         tokio::select! {
             ready = self.fabric.readable() => { ready?; self.forward_batch()?; }
