fix(agent): an agent that has heard nothing of an upstream is not waited for after its stop

Cause: VMs whose upstreams had ended came back with power. Their agents joined without an upstream and were stopped, one a second, and each left the mark of an agent whose upstream goes on, so that no search ended for 30 s.

Change: an agent leaves the mark only if its upstream has reported to this process or answered on one of its flows, or if the process is younger than the interval of reports.

Test: leave_without_upstream.

--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -119,7 +119,7 @@
     let (open, unconfirmed) = worker.count_flows();
     info!(events.logger(), "agent leaves"; "flows" => open, "unconfirmed" => unconfirmed);
     worker.drain_reports(&mut session).await?;
-    session.leave(worker.has_upstream(clock::now())).await;
+    session.leave(worker.leaves_upstream(clock::now())).await;
     info!(events.logger(), "agent stopped");
     Ok(())
 }
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -90,7 +90,7 @@
     }
 
     /// Returns whether an upstream is present, or may be present but has not reported yet.
-    pub(super) fn has_upstream(&self, now: Instant) -> bool {
+    fn has_upstream(&self, now: Instant) -> bool {
         let is_starting =
             now.duration_since(self.started.at) < self.settings.heartbeat * STARTUP_HEARTBEATS;
         self.settings.reports.is_none() || self.upstream.is_present(now, is_starting)
@@ -134,6 +134,17 @@
         self.settings.reports.is_some() && (self.upstream.is_gone() || never_reported)
     }
 
+    /// Returns whether an upstream that may hold flows goes on when this process stops: it has
+    /// reported to this process or answered on a flow, or its first report is not due yet.
+    ///
+    /// Packets that an upstream only returns show nothing: it may have left already.
+    pub(super) fn leaves_upstream(&self, now: Instant) -> bool {
+        let is_due = now.duration_since(self.started.at) >= self.settings.heartbeat;
+        let has_reported = self.settings.reports.is_none() || self.upstream.last_report().is_some();
+        let has_answered = self.table.connections() as usize > self.table.unverified_flows().len();
+        self.has_upstream(now) && (has_reported || has_answered || !is_due)
+    }
+
     /// Records that the upstream has sent a packet or a report.
     pub(super) fn record_upstream_activity(&mut self, now: Instant) {
         self.upstream_last_seen = Some(now);
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -480,6 +480,23 @@
     assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
 }
 
+#[tokio::test]
+async fn leave_without_upstream() {
+    // After a loss of power, agents of VMs without an upstream started and stopped again. Callers of lost
+    // flows waited for each of them to return, as if its upstream went on.
+    let mut harness = Harness::open().await;
+    assert!(harness.worker.leaves_upstream(clock::now()));
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    assert!(harness.worker.leaves_upstream(clock::now()), "the upstream may still report");
+    let due = harness.worker.started.at + harness.worker.settings.heartbeat;
+    let flow = harness.flow(1001);
+    let adopted = connection::State::adopted(CALLER_ISN, due, connection::Class::Exchange);
+    harness.worker.table.insert(flow, adopted);
+    assert!(!harness.worker.leaves_upstream(due));
+    harness.worker.table.outbound(&flow, None, due);
+    assert!(harness.worker.leaves_upstream(due), "the upstream has answered on the flow");
+}
+
 #[tokio::test]
 async fn search_before_records() {
     // Open flows were reset by a new home before the former homes' records had reached it.
