fix(agent): only reports show that an upstream goes on after its agent

Now the mark of an agent that is away rests on reports alone.

Test: leave_without_upstream, which asserts that packets do not count.

--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -135,14 +135,13 @@
     }
 
     /// Returns whether an upstream that may hold flows goes on when this process stops: it has
-    /// reported to this process or answered on a flow, or its first report is not due yet.
+    /// reported to this process, or its first report is not due yet.
     ///
-    /// Packets that an upstream only returns show nothing: it may have left already.
+    /// Its packets show nothing: an upstream that has left still answers on flows that have ended.
     pub(super) fn leaves_upstream(&self, now: Instant) -> bool {
         let is_due = now.duration_since(self.started.at) >= self.settings.heartbeat;
         let has_reported = self.settings.reports.is_none() || self.upstream.last_report().is_some();
-        let has_answered = self.table.connections() as usize > self.table.unverified_flows().len();
-        self.has_upstream(now) && (has_reported || has_answered || !is_due)
+        self.has_upstream(now) && (has_reported || !is_due)
     }
 
     /// Records that the upstream has sent a packet or a report.
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -489,12 +489,8 @@
     harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
     assert!(harness.worker.leaves_upstream(clock::now()), "the upstream may still report");
     let due = harness.worker.started.at + harness.worker.settings.heartbeat;
-    let flow = harness.flow(1001);
-    let adopted = connection::State::adopted(CALLER_ISN, due, connection::Class::Exchange);
-    harness.worker.table.insert(flow, adopted);
-    assert!(!harness.worker.leaves_upstream(due));
-    harness.worker.table.outbound(&flow, None, due);
-    assert!(harness.worker.leaves_upstream(due), "the upstream has answered on the flow");
+    harness.worker.record_upstream_activity(due);
+    assert!(!harness.worker.leaves_upstream(due), "packets show no upstream that goes on");
 }
 
 #[tokio::test]
