fix(control): the time that an agent is away counts from the present leadership

Found when reading the change: a control VM that had led before kept the time of an agent's earlier absence, so that it would have given up a later one too early. It forgets absences while another VM leads. Also: the filter of abandoned flows and the assertion of unanswered searches each in one place.

--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -145,10 +145,11 @@
         let open = || self.table.iter().filter(|(_, state)| !state.is_closed());
         let owned = open().filter(|(_, state)| is_settled::<C>(state));
         let owned = owned.map(|(flow, state)| self.record(flow, state.isn));
-        let abandoned = open().filter(|(_, state)| !is_settled::<C>(state));
-        let abandoned = abandoned.filter(|(_, state)| {
-            state.is_contested() || now.duration_since(state.admitted_at) >= CONFIRM_TIMEOUT
-        });
+        let is_abandoned = |state: &connection::State| {
+            let is_late = now.duration_since(state.admitted_at) >= CONFIRM_TIMEOUT;
+            !is_settled::<C>(state) && (state.is_contested() || is_late)
+        };
+        let abandoned = open().filter(|(_, state)| is_abandoned(state));
         let abandoned: Vec<Record> =
             abandoned.map(|(flow, state)| self.record(flow, state.isn)).collect();
         let recorded = self.directory.iter().filter_map(|(flow, record)| match record {
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -232,6 +232,15 @@
         timeout(ARRIVAL_TIMEOUT, wanted).await.unwrap()
     }
 
+    /// Lets a simulated peer search for a flow, and asserts that it gets no answer.
+    async fn assert_search_unanswered(&mut self, peer: usize, packet: Bytes) {
+        let search = Forward { packet, search: true, hops: 1, ..Forward::default() };
+        self.send_from_peer(peer, Body::Forward(search)).await;
+        let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
+        let answer = self.receive_at_peer(peer, miss);
+        assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
+    }
+
     /// Lets a caller open a flow whose home this agent is, while no upstream has a free slot.
     async fn place_while_full(&mut self, port: u16) {
         // The agent's own upstream takes no new flows.
@@ -453,11 +462,7 @@
     let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
     harness.worker.directory.record_owner(flow, Harness::id(1), CALLER_ISN);
     harness.change_members(|pool| pool.members.retain(|member| member.vm != Harness::id(1)));
-    let search = Forward { packet: request, search: true, hops: 1, ..Forward::default() };
-    harness.send_from_peer(0, Body::Forward(search)).await;
-    let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
-    let answer = harness.receive_at_peer(0, miss);
-    assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
+    harness.assert_search_unanswered(0, request).await;
 }
 
 #[tokio::test]
@@ -473,11 +478,7 @@
     }
     assert!(Harness::is_silent(&harness.caller).await, "reset while an agent is expected back");
     // Nor does this agent answer for others.
-    let search = Forward { packet: request, search: true, hops: 1, ..Forward::default() };
-    harness.send_from_peer(0, Body::Forward(search)).await;
-    let miss = |body| matches!(body, Body::Unknown(_)).then_some(());
-    let answer = harness.receive_at_peer(0, miss);
-    assert!(timeout(SILENCE_WAIT, answer).await.is_err(), "the home was told of a miss");
+    harness.assert_search_unanswered(0, request).await;
 }
 
 #[tokio::test]
--- a/crates/hyssopdyked/src/control/leases.rs
+++ b/crates/hyssopdyked/src/control/leases.rs
@@ -174,7 +174,11 @@
         }
         last = now;
         let since = handle.leadership.borrow().since;
-        let Some(since) = since else { continue };
+        let Some(since) = since else {
+            // Agents may return and stop again while another VM leads.
+            absences = Absences::default();
+            continue;
+        };
         let mut expired = leases.expired(handle.registry().await.store(), since.max(resumed), now);
         for unregister in &expired {
             info!(events.logger(), "lease ended"; "daemon" => unregister.name.as_str());
