fix(agent): a flow that the upstream returned is not taken over again

Cause: a restarted agent had taken over a copy that the caller does not use. Its upstream returned the packet, and the agent dropped the flow; 50 ms later the next copy of the record came from another member, and it took the flow over again, and again after the next packet. At each stop it handed the flow on as its own.

Change: a flow that the upstream returned is not taken over again while the process recovers, and its end is reported to all homes. An adopted flow is handed on at a stop only once the upstream has sent a packet of it; until then its home's record stands for it.

Test: adopt_flow_of_other_upstream (its three parts were not taken out one by one).

--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -142,6 +142,12 @@
         self.handshake == Handshake::Confirmed
     }
 
+    /// Returns whether the flow was adopted, and the upstream has sent nothing since.
+    #[must_use]
+    pub const fn is_unverified(&self) -> bool {
+        self.is_unverified
+    }
+
     /// Returns whether another upstream is recorded as the owner, and the caller has not
     /// acknowledged this upstream's first packet.
     #[must_use]
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -340,12 +340,22 @@
         if let Some((home, _)) = self.upstream_searches.remove(&flow) {
             return self.report_missed(flow, home, &self.codec.decode_returned(bytes));
         }
-        if self.table.remove(&flow).is_some() {
+        if let Some(state) = self.table.remove(&flow) {
             unusual!(self.events, "upstream does not hold the flow"; "flow" => %flow);
+            self.disown(&flow, state.isn);
             self.return_to_home(flow, packet, self.codec.decode_returned(bytes));
         }
     }
 
+    /// Withdraws the record of a flow that the upstream does not hold from all homes, where copies of
+    /// it may be, so that neither this process nor the next one takes the flow over again.
+    fn disown(&mut self, flow: &Flow, isn: u32) {
+        if self.is_recovering {
+            self.disowned.insert(*flow);
+        }
+        self.queue_ended_everywhere(flow, isn);
+    }
+
     /// Sends the packet of a flow that the upstream does not hold to the flow's home, since the
     /// caller may be using another upstream.
     fn return_to_home(&mut self, flow: Flow, packet: &Packet, bytes: Bytes) {
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -147,7 +147,9 @@
         let owned = owned.map(|(flow, state)| self.record(flow, state.isn));
         let is_abandoned = |state: &connection::State| {
             let is_late = now.duration_since(state.admitted_at) >= CONFIRM_TIMEOUT;
-            !is_settled::<C>(state) && (state.is_contested() || is_late)
+            C::RESOLVES_DUPLICATE_OPENS
+                && !state.is_confirmed()
+                && (state.is_contested() || is_late)
         };
         let abandoned = open().filter(|(_, state)| is_abandoned(state));
         let abandoned: Vec<Record> =
@@ -255,6 +257,15 @@
         }
     }
 
+    /// Queues the end of a flow for reports to all homes.
+    pub(super) fn queue_ended_everywhere(&mut self, flow: &Flow, isn: u32) {
+        let record = self.record(flow, isn);
+        let homes = self.pool.iter().flat_map(|pool| pool.homes.iter().copied());
+        for home in homes.filter(|home| *home != self.own_id) {
+            self.pending_records.entry(home).or_default().ended.push(record.clone());
+        }
+    }
+
     /// Returns the other member that keeps the record of a flow of this agent.
     pub(super) fn holder(&self, flow: &Flow) -> Option<vm::Id> {
         let (first, second) = self.pool.as_ref()?.top_two(self.hash(flow));
@@ -340,7 +351,8 @@
 
     /// Adopts a flow that a former process of this agent admitted.
     fn adopt(&mut self, flow: Flow, isn: u32) {
-        if !self.is_recovering || self.table.get(&flow).is_some() {
+        let is_known = self.table.get(&flow).is_some() || self.disowned.contains(&flow);
+        if !self.is_recovering || is_known {
             return;
         }
         let view = self.membership.view();
@@ -363,6 +375,7 @@
         }
         if self.is_recovering {
             self.is_recovering = false;
+            self.disowned.clear();
             info!(self.events.logger(), "flows taken over"; "flows" => self.table.len());
             if let Some(pool) = self.pool.clone() {
                 self.queue_owned_flows(&pool);
@@ -388,9 +401,9 @@
 }
 
 /// Returns whether the caller of a flow certainly uses this agent's upstream: where callers may be
-/// offered several, they have to confirm one.
+/// offered several, they have to confirm one, and the upstream of an adopted flow has to send a packet.
 fn is_settled<C: PacketCodec>(state: &connection::State) -> bool {
-    !C::RESOLVES_DUPLICATE_OPENS || state.is_confirmed()
+    !C::RESOLVES_DUPLICATE_OPENS || state.is_confirmed() && !state.is_unverified()
 }
 
 /// Returns whether the owner of a record is one of `members`.
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -1,6 +1,6 @@
 //! Event loop of the agent: handles packets and messages one at a time, and owns all tables.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -118,6 +118,8 @@
     pub(super) directory: Directory,
     /// Searches in progress that this agent started as a home.
     pub(super) searches: Searches,
+    /// Flows that the upstream was found not to hold while this process recovers its flows.
+    pub(super) disowned: HashSet<Flow>,
     /// Flows searched at the upstream, with the home to notify if the upstream returns the packet,
     /// and the start of the search.
     pub(super) upstream_searches: HashMap<Flow, (vm::Id, Instant)>,
@@ -187,6 +189,7 @@
             is_upstream_unresponsive: false,
             directory: Directory::new(),
             searches: Searches::new(),
+            disowned: HashSet::new(),
             upstream_searches: HashMap::new(),
             records_barrier: Barrier::new(),
             owned_barrier: Barrier::new(),
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -680,6 +680,37 @@
     assert_eq!((flows(&report.opened), flows(&report.ended)), (vec![used], vec![unused]));
 }
 
+#[tokio::test]
+async fn adopt_flow_of_other_upstream() {
+    // A restarted agent took over a flow that its caller uses at another upstream. It did so again after its
+    // upstream had returned a packet, and handed the flow on as its own at each stop.
+    let mut harness = Harness::open().await;
+    harness.worker.is_recovering = true;
+    let flow = harness.flow(1001);
+    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: harness.worker.own_id };
+    let report = Body::Report(Report { opened: vec![record], ..Report::default() });
+    harness.send_from_peer(0, report.clone()).await;
+    assert!(harness.worker.table.get(&flow).is_some(), "not adopted");
+    harness.worker.outbox.retain(|_, _| false);
+    harness.worker.queue_final_reports();
+    assert!(harness.worker.outbox.is_empty(), "reported without a packet of the upstream");
+    let mut returned = harness.request(1001, OTHER_UPSTREAM_ISN).to_vec();
+    returned[12] |= RETURNED;
+    harness.send_from_upstream(&returned).await;
+    harness.send_from_peer(0, report).await;
+    assert!(harness.worker.table.get(&flow).is_none(), "adopted again");
+    harness.worker.flush_pending_records();
+    harness.worker.send_reports();
+    for peer in [0, 1] {
+        let ended = |body| match body {
+            Body::Report(report) => report.ended.first().cloned(),
+            _ => None,
+        };
+        let ended = harness.receive_at_peer(peer, ended).await;
+        assert_eq!((Flow::try_from(ended.flow.as_ref()).unwrap(), ended.isn), (flow, CALLER_ISN));
+    }
+}
+
 #[tokio::test]
 async fn join_settled_home() {
     // A member joins and has not reported yet. The homes are the same, so that a packet of an
