--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -20,9 +20,8 @@
 use tokio::time::timeout;
 
 use super::*;
-use crate::settings::{Cluster, Log, LogFormat, PacketFormat, Vm};
-
-const PASSPHRASE: &str = "for tests only, long";
+use crate::settings::PacketFormat;
+use crate::settings::sample::{self, PASSPHRASE};
 
 /// Identity of the agent's process.
 const PROCESS_IDENTITY: u64 = 7;
@@ -102,16 +101,7 @@
         let addresses: Vec<_> = links.map(|link| link.local_addr().unwrap()).collect();
         let upstream = UdpSocket::bind(loopback()).await.unwrap();
         let caller = UdpSocket::bind(loopback()).await.unwrap();
-        let common = Common {
-            vm: Vm { name: "vm-0".into(), domain: "d".into(), address: loopback().ip() },
-            cluster: Cluster { passphrase: PASSPHRASE.into(), control: Vec::new() },
-            log: Log {
-                level: slog::Level::Critical,
-                format: LogFormat::Json,
-                statsd: None,
-                metrics: None,
-            },
-        };
+        let common = sample::common("vm-0");
         let settings = Agent {
             service: "a".into(),
             peer_port: 0,
--- a/crates/hyssopdyked/src/control/consensus/disk_tests.rs
+++ b/crates/hyssopdyked/src/control/consensus/disk_tests.rs
@@ -6,7 +6,7 @@
 use hyssopdyke_wire::{Key, Purpose};
 
 use super::*;
-use crate::settings::{Cluster, Common, Log, LogFormat, Vm};
+use crate::settings::sample;
 
 /// Interval between messages of the leader: shorter than that between attempts to repair the disk.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(20);
@@ -24,22 +24,13 @@
 
 async fn open(folder: &std::path::Path) -> (Handle, Consensus) {
     let address = ([127, 0, 0, 1], 0).into();
-    let common = Common {
-        vm: Vm { name: "vm-0".into(), domain: "d".into(), address: [127, 0, 0, 1].into() },
-        cluster: Cluster { passphrase: "for tests only, long".into(), control: Vec::new() },
-        log: Log {
-            level: slog::Level::Critical,
-            format: LogFormat::Json,
-            statsd: None,
-            metrics: None,
-        },
-    };
+    let common = sample::common("vm-0");
     let (events, _writer) = Events::open("control", &common);
     let metrics = Metrics::open("control", &common, &events).await.unwrap();
     let journal = Journal::open(DataDir::open(folder).unwrap()).unwrap();
     let (_, seeds) = watch::channel(Vec::new());
     let discovery = Discovery { seeds, port: 1, target_voters: None };
-    let connections = Connections::new(Key::derive("for tests only, long", Purpose::Session));
+    let connections = Connections::new(Key::derive(sample::PASSPHRASE, Purpose::Session));
     let local = Local { name: "vm-0".into(), identity: 1, address };
     Consensus::open(local, journal, discovery, connections, metrics, events)
 }
--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -1,6 +1,5 @@
 //! Tests of whether a daemon may act across changes of the view.
 
-use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use hyssopdyke::version::Store;
@@ -10,23 +9,12 @@
 use super::{DEFAULT_LEASE, Membership};
 use crate::clock;
 use crate::log::Events;
-use crate::settings::{Cluster, Common, Log, LogFormat, Vm};
+use crate::settings::sample;
 
 const BOOT: u64 = 7;
 
 fn membership() -> Membership {
-    let address = IpAddr::V4(Ipv4Addr::LOCALHOST);
-    let common = Common {
-        vm: Vm { name: "vm-1".into(), domain: "d".into(), address },
-        cluster: Cluster { passphrase: "for tests only, long".into(), control: Vec::new() },
-        log: Log {
-            level: slog::Level::Critical,
-            format: LogFormat::Json,
-            statsd: None,
-            metrics: None,
-        },
-    };
-    let (events, _writer) = Events::open("agent", &common);
+    let (events, _writer) = Events::open("agent", &sample::common("vm-1"));
     Membership::new(BOOT, "d".into(), events)
 }
 
--- a/crates/hyssopdyked/src/settings/mod.rs
+++ b/crates/hyssopdyked/src/settings/mod.rs
@@ -10,6 +10,8 @@
 mod file;
 mod log;
 mod packet_format;
+#[cfg(test)]
+pub(crate) mod sample;
 mod vm;
 
 pub(crate) use agent::Agent;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -2,8 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::Path;
 use std::time::Duration;
 
 use soak::{Plan, Soak};
@@ -14,20 +13,9 @@
 /// Duration of the soak of each seed.
 const SEED_DURATION: Duration = Duration::from_secs(12);
 
-/// Builds the daemon and returns its path in the target directory of this test.
-fn daemon() -> PathBuf {
-    let status = Command::new(env!("CARGO"))
-        .args(["build", "--quiet", "--locked", "--package", "hyssopdyked"])
-        .status()
-        .unwrap();
-    assert!(status.success());
-    let test = std::env::current_exe().unwrap();
-    test.ancestors().nth(2).unwrap().join("hyssopdyked")
-}
-
 #[test]
 fn soak_seeds() {
-    let daemon = daemon();
+    let daemon = standin::build_daemon().unwrap();
     let seeds = SEEDS.lines().filter(|line| !line.starts_with('#'));
     for seed in seeds.map(|line| line.split_whitespace().next().unwrap().parse().unwrap()) {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod cluster;
+mod daemon;
 mod fabric;
 mod process;
 mod relay;
@@ -18,6 +19,7 @@
 
 pub use caller::{Callers, Kind, Outcome, Spec, Tally};
 pub use cluster::{Cluster, Error, Layout, ServiceLayout};
+pub use daemon::build_daemon;
 pub use fabric::{Fabric, Faults};
 pub use process::Process;
 pub use relay::{Impairment, Relay};
