fix(agent): one report does not prove that an upstream has started again

A final report that came late under the same id did the same; a number that was too high made all later reports late.

Cause: a report was believed by its shape.

A late report may come at any moment, and others may write.

Change: another process is a rival until the one that is followed has ended: by its own end after draining, by silence for three heartbeats, or because the upstream returns packets of flows that it had accepted. A rival whose numbers do not start anew was there all the while, and keeps the flows. Flows on which the upstream has sent something since its successor's first report stay. A number counts if the process can have made so many reports since. Draining is not taken back by a single report. An end that does not follow on draining is believed after two silent heartbeats. What is not applied is not acknowledged.

Why it works: what others write can no longer outweigh what the upstream itself does, report and return.

Ruled out: comparing `born` with a clock (it jumps), and waiting for silence alone (callers of a crashed upstream would wait 3.6 s).

--- a/crates/hyssopdyke/src/connection/state.rs
+++ b/crates/hyssopdyke/src/connection/state.rs
@@ -148,6 +148,12 @@
         self.is_unverified
     }
 
+    /// Returns when the upstream last sent a packet; for a flow without one, when it was admitted.
+    #[must_use]
+    pub const fn upstream_seen(&self) -> Instant {
+        self.upstream_seen
+    }
+
     /// Returns whether another upstream is recorded as the owner, and the caller has not
     /// acknowledged this upstream's first packet.
     #[must_use]
--- a/crates/hyssopdyke/src/process/mod.rs
+++ b/crates/hyssopdyke/src/process/mod.rs
@@ -28,5 +28,5 @@
 pub use report_plan::{Due, ReportPlan};
 pub use shaper::{Queued, Shaper};
 pub use suspects::Suspects;
-pub use upstream::{Change, Phase, ProcessStart, Upstream, UpstreamReport};
+pub use upstream::{Change, Phase, Upstream, UpstreamReport};
 pub use warmup::WarmupLimiter;
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -344,6 +344,11 @@
             unusual!(self.events, "upstream does not hold the flow"; "flow" => %flow);
             self.disown(&flow, state.isn);
             self.return_to_home(flow, packet, self.codec.decode_returned(bytes));
+            if state.is_confirmed() && !state.is_unverified() && !state.is_closed() {
+                let now = clock::now();
+                let change = self.upstream.record_lost_flow(now);
+                self.handle_upstream_change(change, now);
+            }
         }
     }
 
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use hyssopdyke::connection::{self, Flow};
-use hyssopdyke::process::{Change, Phase};
+use hyssopdyke::process::Change;
 use hyssopdyke::request::PacketCodec;
 use hyssopdyke::version::Capacity;
 use hyssopdyke_platform::reports::Delivery;
@@ -47,30 +47,40 @@
             }
         };
         self.record_upstream_activity(now);
-        let phase = report.phase;
         let change = self.upstream.report(report, now);
+        self.handle_upstream_change(change, now);
+        if change == Change::Unproven {
+            // What is not acknowledged is reported again.
+            self.metrics.count("reports.unproven");
+            return unusual!(self.events, "upstream report of another process";
+                "followed" => ?self.upstream.last_report().map(|last| &last.instance));
+        }
+        // The upstream may have closed its request without waiting for the acknowledgement.
+        let _ = acknowledge.send(());
+    }
+
+    /// Handles a change of the upstream's status.
+    pub(super) fn handle_upstream_change(&mut self, change: Change, now: Instant) {
+        let last = self.upstream.last_report();
+        let (name, phase) = last.map(|last| (last.instance.clone(), last.phase)).unzip();
         match change {
-            Change::None | Change::Capacity => {}
-            Change::First | Change::Started => {
-                let name = self.upstream.last_report().map(|last| last.instance.clone());
+            Change::None | Change::Unproven | Change::Capacity => return,
+            Change::First | Change::Started | Change::Corrected => {
                 info!(self.events.logger(), "upstream started"; "upstream" => ?name,
                     "phase" => ?phase, "change" => ?change);
                 if change == Change::Started {
-                    self.drop_all_flows();
+                    self.drop_former_flows();
                 }
                 self.apply_declared_limit();
-                self.exchange_loads(now);
             }
             Change::Phase => {
                 info!(self.events.logger(), "upstream changed"; "phase" => ?phase);
-                if phase == Phase::Gone {
-                    self.drop_all_flows();
+                if self.upstream.is_gone() {
+                    self.drop_flows(|_| true);
                 }
-                self.exchange_loads(now);
             }
         }
-        // The upstream may have closed its request without waiting for the acknowledgement.
-        let _ = acknowledge.send(());
+        self.exchange_loads(now);
     }
 
     /// Leaves the membership when the upstream is gone, and rejoins when the upstream is back. An
@@ -92,7 +102,7 @@
     /// Returns whether an upstream is present, or may be present but has not reported yet.
     fn has_upstream(&self, now: Instant) -> bool {
         let is_starting =
-            now.duration_since(self.started.at) < self.settings.heartbeat * STARTUP_HEARTBEATS;
+            now.duration_since(self.started) < self.settings.heartbeat * STARTUP_HEARTBEATS;
         self.settings.reports.is_none() || self.upstream.is_present(now, is_starting)
     }
 
@@ -122,14 +132,14 @@
     /// flows from that time may still be open.
     pub(super) fn may_have_unknown_flows(&self, now: Instant) -> bool {
         let is_older = self.upstream.may_predate(self.started, self.capacity().warmup);
-        is_older && now.duration_since(self.started.at) < MAX_FLOW_AGE
+        is_older && now.duration_since(self.started) < MAX_FLOW_AGE
     }
 
     /// Returns whether this agent has no upstream: the upstream has ended, or would have reported since
     /// the start of this process.
     pub(super) fn has_no_upstream(&self, now: Instant) -> bool {
         let is_late =
-            now.duration_since(self.started.at) >= self.settings.heartbeat * MISSED_HEARTBEATS;
+            now.duration_since(self.started) >= self.settings.heartbeat * MISSED_HEARTBEATS;
         let never_reported = self.upstream.last_report().is_none() && is_late;
         self.settings.reports.is_some() && (self.upstream.is_gone() || never_reported)
     }
@@ -139,7 +149,7 @@
     ///
     /// Its packets show nothing: an upstream that has left still answers on flows that have ended.
     pub(super) fn leaves_upstream(&self, now: Instant) -> bool {
-        let is_due = now.duration_since(self.started.at) >= self.settings.heartbeat;
+        let is_due = now.duration_since(self.started) >= self.settings.heartbeat;
         let has_reported = self.settings.reports.is_none() || self.upstream.last_report().is_some();
         self.has_upstream(now) && (has_reported || !is_due)
     }
@@ -196,10 +206,16 @@
         }
     }
 
-    /// Resets the callers of all flows and removes the flows, since the upstream no longer holds
-    /// them.
-    fn drop_all_flows(&mut self) {
-        let flows: Vec<Flow> = self.table.iter().map(|(flow, _)| *flow).collect();
+    /// Drops the flows that a former process of the upstream held.
+    fn drop_former_flows(&mut self) {
+        let Some(since) = self.upstream.succeeded_at() else { return };
+        self.drop_flows(|state| state.is_open() && state.upstream_seen() < since);
+    }
+
+    /// Resets the callers of flows that the upstream no longer holds, and removes the flows.
+    fn drop_flows(&mut self, is_lost: impl Fn(&connection::State) -> bool) {
+        let lost = self.table.iter().filter(|(_, state)| is_lost(state));
+        let flows: Vec<Flow> = lost.map(|(flow, _)| *flow).collect();
         for flow in flows {
             unusual!(self.events, "flow ended with its upstream"; "flow" => %flow);
             self.metrics.count("reset.gone");
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -3,14 +3,12 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eyre::Result;
 use hyssopdyke::connection::{Directory, Flow, Searches, Table};
-use hyssopdyke::process::{
-    Barrier, HoldQueue, Limit, Outbox, ProcessStart, ReportPlan, Upstream, WarmupLimiter,
-};
+use hyssopdyke::process::{Barrier, HoldQueue, Limit, Outbox, ReportPlan, Upstream, WarmupLimiter};
 use hyssopdyke::request::{Packet, PacketCodec, Scheduler};
 use hyssopdyke::version::{Pool, Route};
 use hyssopdyke::vm;
@@ -81,7 +79,8 @@
     pub(super) own_id: vm::Id,
     /// Identity of the process, chosen at random at its start.
     pub(super) process_identity: u64,
-    pub(super) started: ProcessStart,
+    /// Start of the process.
+    pub(super) started: Instant,
     pub(super) domain: Box<str>,
     pub(super) settings: Agent,
     pub(super) link: Link,
@@ -167,7 +166,7 @@
             ready: watch::Sender::new(false),
             own_id: vm::id(&common.vm.name),
             process_identity,
-            started: ProcessStart { at: clock::now(), unix_ms: unix_millis() },
+            started: clock::now(),
             domain: common.vm.domain.clone(),
             settings,
             flow_hash_keys: link.flow_hash_keys(),
@@ -559,6 +558,8 @@
     fn sweep(&mut self) {
         let now = clock::now();
         self.events.log_suppressed();
+        let change = self.upstream.check_end(now);
+        self.handle_upstream_change(change, now);
         self.exchange_loads(now);
         if self.may_serve_owned(now) {
             self.sweep_flows(now);
@@ -628,12 +629,6 @@
     }
 }
 
-/// Returns the Unix time in milliseconds; 0 before the Unix epoch.
-fn unix_millis() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since_epoch.map_or(0, |time| time.as_millis() as u64)
-}
-
 #[cfg(test)]
 #[path = "worker_tests.rs"]
 mod tests;
--- a/crates/hyssopdyked/src/metrics/names.rs
+++ b/crates/hyssopdyked/src/metrics/names.rs
@@ -230,6 +230,13 @@
         "reports from the upstream that cannot be parsed",
         "above zero",
     ),
+    metric(
+        Counter,
+        "reports.unproven",
+        "agent",
+        "reports that are not shown to be the upstream's, and were not acknowledged",
+        "above zero",
+    ),
     metric(
         Counter,
         "dropped.absent",
