--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -94,7 +94,11 @@
     let membership = Membership::new(process_identity, common.vm.domain.clone(), events.clone());
     let metrics = Metrics::open("agent", &common, &events).await?;
     let (deliveries, received) = mpsc::channel(MAX_QUEUED_REPORTS);
-    let sender = reports::Sender { service: role.service.clone(), address: role.upstream };
+    let sender = reports::Sender {
+        service: role.service.clone(),
+        zone: common.vm.domain.clone(),
+        address: role.upstream,
+    };
     let router = reports::router(sender, deliveries);
     let _reports = Server::bind("[agent] reports", role.reports, router).await?;
     let sockets = Sockets { link, answers, reports: received };
