fix(control): a late renewal of a former process does not take its successor's place

A renewal that a partition has held up arrives after its process has ended and the next one has registered. Control registered the former one again, so that the present one was no member until its next renewal, up to a second later, and its group changed twice.

Cause: any message under a daemon's name was taken for its present process.

Change: only a Hello may replace another process; a session whose process was replaced since ends. Why it works: a dead process cannot say Hello again, and a live one that lost its session does so at once.

Evidence: session_of_former_process fails without the change ("a former process was registered again"), and passes with it.

--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -50,6 +50,8 @@
     Deposed,
     #[error("the daemon left")]
     Left,
+    #[error("another process of the daemon has registered since")]
+    Superseded,
 }
 
 type Stream = Framed<TcpStream, Codec<Frame>>;
@@ -98,18 +100,26 @@
         is_valid.then_some(Self { kind, resource, boot })
     }
 
+    /// Returns the identity of the process that is registered under the daemon's name.
+    async fn registered_boot(&self, handle: &Handle) -> Option<u64> {
+        let registry = handle.registry().await;
+        match registry.store().get(self.kind, &self.resource.name)?.body.as_ref()? {
+            resource::Body::Upstream(upstream) => Some(upstream.boot),
+            resource::Body::Entry(entry) => Some(entry.boot),
+            _ => None,
+        }
+    }
+
+    /// Returns whether another process was registered under the daemon's name since its session
+    /// began. Renewals of a former process may arrive after that.
+    async fn is_superseded(&self, handle: &Handle) -> bool {
+        let registered = self.registered_boot(handle).await;
+        registered.is_some_and(|boot| boot != 0 && boot != self.boot)
+    }
+
     /// Registers the daemon, unless this process of it is registered already.
     async fn register(&self, handle: &Handle) -> Result<(), LogError> {
-        let is_registered = {
-            let registry = handle.registry().await;
-            let registered = registry.store().get(self.kind, &self.resource.name);
-            match registered.and_then(|registered| registered.body.as_ref()) {
-                Some(resource::Body::Upstream(upstream)) => upstream.boot == self.boot,
-                Some(resource::Body::Entry(entry)) => entry.boot == self.boot,
-                _ => false,
-            }
-        };
-        if !is_registered {
+        if self.registered_boot(handle).await != Some(self.boot) {
             let register = Register { resource: Some(self.resource.clone()) };
             handle.propose(command::Body::Register(register)).await?;
         }
@@ -194,6 +204,9 @@
     if !handle.is_leader_within(QUORUM_TIMEOUT) {
         return Ok(());
     }
+    if daemon.is_superseded(handle).await {
+        return Err(End::Superseded);
+    }
     daemon.register(handle).await?;
     let id = (daemon.kind, daemon.resource.name.as_str().into());
     leases.record_renewal(id, daemon.boot, renew.revision, renew.usage.unwrap_or_default());
--- a/crates/hyssopdyked/tests/hostile.rs
+++ b/crates/hyssopdyked/tests/hostile.rs
@@ -4,18 +4,21 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::time::Duration;
 
 use bytes::BytesMut;
 use etherparse::PacketBuilder;
 use hyssopdyke_wire::datagram::{Datagram, Forward, datagram::Body};
-use hyssopdyke_wire::{Key, Purpose};
+use hyssopdyke_wire::resource::{Kind, Upstream, resource};
+use hyssopdyke_wire::session::{Frame, Hello, Renew, frame, hello};
+use hyssopdyke_wire::{Codec, Key, Purpose};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use standin::{Cluster, Layout, ServiceLayout, Tally};
-use support::{Bench, wait_for};
+use support::{Bench, TIMEOUT, wait_for};
+use tokio_util::codec::{Decoder, Encoder};
 
 /// Returns the address that the first event of a VM's log has under a key.
 fn logged_address(bench: &Bench, vm: &str, key: &str) -> SocketAddr {
@@ -96,6 +99,80 @@
     assert_eq!(sources().iter().sum::<usize>(), usize::from(FLOWS), "{:?}", sources());
 }
 
+/// Session of a daemon's process with control.
+struct RawSession {
+    stream: TcpStream,
+    codec: Codec<Frame>,
+    received: BytesMut,
+}
+
+impl RawSession {
+    /// Announces an agent's process.
+    fn open(control: SocketAddr, name: &str, boot: u64) -> Self {
+        let stream = TcpStream::connect(control).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        let key = Key::derive(Cluster::passphrase(), Purpose::Session);
+        let mut session = Self { stream, codec: Codec::new(key), received: BytesMut::new() };
+        let role = hello::Role::Upstream(Upstream {
+            domain: "fj-west-a".into(),
+            service: "dispatch".into(),
+            address: "127.0.0.1:9".into(),
+            boot,
+            ..Upstream::default()
+        });
+        session.send(frame::Body::Hello(Hello {
+            name: name.into(),
+            revision: 0,
+            role: Some(role),
+        }));
+        session
+    }
+
+    fn send(&mut self, body: frame::Body) {
+        let mut bytes = BytesMut::new();
+        self.codec.encode(Frame { body: Some(body) }, &mut bytes).unwrap();
+        // Control may have closed the session.
+        let _ = self.stream.write_all(&bytes);
+    }
+
+    /// Renews the lease. Returns whether control has granted it.
+    fn renew(&mut self, sequence: u64) -> bool {
+        self.send(frame::Body::Renew(Renew { sequence, ..Renew::default() }));
+        let mut bytes = [0; 4096];
+        loop {
+            match self.codec.decode(&mut self.received).unwrap().and_then(|frame| frame.body) {
+                Some(frame::Body::Granted(granted)) if granted.sequence == sequence => return true,
+                Some(_) => continue,
+                None => {}
+            }
+            match self.stream.read(&mut bytes) {
+                Ok(0) | Err(_) => return false,
+                Ok(length) => self.received.extend_from_slice(&bytes[..length]),
+            }
+        }
+    }
+}
+
+#[test]
+fn session_of_former_process() {
+    // A renewal of a former process was held up by a partition, and arrived after the next process had
+    // registered. It took that one's place, which lost its membership until its next renewal.
+    let bench = Bench::start_single_service("session_of_former_process", 1);
+    let control = logged_address(&bench, "control-1", "sessions");
+    let mut former = RawSession::open(control, "agent-x", 1);
+    assert!(former.renew(1));
+    let mut present = RawSession::open(control, "agent-x", 2);
+    assert!(present.renew(1));
+    assert!(!former.renew(2), "a former process was registered again");
+    assert!(present.renew(2));
+    let client = bench.cluster.client_of([0]);
+    let registered = client.get(Kind::Upstream, "agent-x").unwrap();
+    assert!(
+        matches!(&registered.body, Some(resource::Body::Upstream(upstream)) if upstream.boot == 2),
+        "{registered:?}"
+    );
+}
+
 #[test]
 fn sockets_random_bytes() {
     let mut bench = Bench::start_single_service("sockets_random_bytes", 2);
