fix(settings): addresses of control and seeds without a port or a host are faults

What operators saw: a seed such as 0.0.0.0:8166 or 10.0.0.1:0 passed the check of the file, and the daemon looked for control where nobody can be.

Change: lists of other processes' addresses are held to what can be reached; the fault names section, key and value.

Evidence: open_peers_without_place fails without the change; the property open_any_text (any text gives settings, or an error that names the file) holds for all three roles.

--- a/crates/hyssopdyked/src/settings/cluster.rs
+++ b/crates/hyssopdyked/src/settings/cluster.rs
@@ -20,8 +20,7 @@
 impl Cluster {
     pub(super) fn read(section: &mut Section<'_>, role: &str) -> Option<Self> {
         let passphrase = section.text("passphrase");
-        let mut control: Option<Vec<SocketAddr>> =
-            section.list("control", "a list of socket addresses");
+        let mut control = section.peers("control");
         // The listed addresses may have another port of the same VMs.
         if let Some(port) = section.optional("session_port", "a port") {
             control.iter_mut().flatten().for_each(|address| address.set_port(port));
--- a/crates/hyssopdyked/src/settings/control.rs
+++ b/crates/hyssopdyked/src/settings/control.rs
@@ -67,7 +67,7 @@
         );
         let api = section.optional("api", "a socket address");
         let platform = section.optional("platform", "true or false");
-        let seeds = section.list("seeds", "a list of socket addresses");
+        let seeds = section.peers("seeds");
         let tolerance = section.number("tolerance", 1, (0, 3));
         let bootstrap = section.optional("form", "true or false");
         let address = vm?.address;
--- a/crates/hyssopdyked/src/settings/file.rs
+++ b/crates/hyssopdyked/src/settings/file.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::str::FromStr;
 use std::time::Duration;
@@ -137,6 +138,21 @@
         items.map(|item| self.parse(key, item, expected)).collect()
     }
 
+    /// Returns the comma-separated socket addresses of other processes. A missing key is an empty list.
+    pub(crate) fn peers(&mut self, key: &'static str) -> Option<Vec<SocketAddr>> {
+        let peers: Vec<SocketAddr> = self.list(key, "a list of socket addresses")?;
+        let is_valid = |peer: &&SocketAddr| peer.port() != 0 && !peer.ip().is_unspecified();
+        if let Some(invalid) = peers.iter().find(|peer| !is_valid(peer)) {
+            let expected = "the address and the port of a process";
+            self.add_fault(
+                key,
+                Cause::InvalidValue { value: invalid.to_string().into(), expected },
+            );
+            return None;
+        }
+        Some(peers)
+    }
+
     /// Returns a number within inclusive bounds, or `default` if the key is missing.
     pub(crate) fn number<T>(&mut self, key: &'static str, default: T, bounds: (T, T)) -> Option<T>
     where
--- a/crates/hyssopdyked/src/settings/tests.rs
+++ b/crates/hyssopdyked/src/settings/tests.rs
@@ -2,6 +2,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
 use super::{Agent, Control, Entry, Error, Role, Settings};
 
 const COMMON: &str = "[vm]\nname = a-1\ndomain = fj-west-a\naddress = 127.9.9.9\n\
@@ -140,3 +143,65 @@
     assert!(!shown.contains("sixteen letters!"));
     assert!(shown.contains("passphrase = (hidden)"));
 }
+
+#[test]
+fn open_peers_without_place() {
+    for peer in ["127.9.9.1:0", "0.0.0.0:5560", "[::]:5560"] {
+        let text = format!("{COMMON}{AGENT}").replace("127.9.9.1:5560", peer);
+        let expected = format!(
+            "[cluster] control: expected the address and the port of a process, found {peer:?}"
+        );
+        assert_eq!(faults::<Agent>("peers", &text), [expected]);
+    }
+}
+
+/// Any text of a settings file: lines of known sections and keys, with any values.
+fn any_settings() -> impl Strategy<Value = String> {
+    let key = prop_oneof![
+        "(name|domain|address|passphrase|control|session_port|form|metrics)",
+        "(service|upstream|fabric|answers|reports|readiness|heartbeat|peer_port|packets)",
+        "(api|data|seeds|tolerance|replica_port|grace|cached_flows|link_mbit)",
+        "[a-z_]{1,9}",
+    ];
+    let value = prop_oneof![
+        "(127.0.0.1:[0-9]{1,6},?){0,4}",
+        "[0-9]{1,25}(ms|s|h|)",
+        "-?[0-9.e]{1,8}",
+        ".{0,20}",
+    ];
+    let line = prop_oneof![
+        "\\[(vm|cluster|log|agent|entry|control|[a-z]{1,5})\\]",
+        (key, value).prop_map(|(key, value)| format!("{key} = {value}")),
+        ".{0,30}",
+    ];
+    prop::collection::vec(line, 0..24).prop_map(|lines| lines.join("\n"))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(29),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Any file is settings, or an error that names the file.
+    #[test]
+    fn open_any_text(text in any_settings(), is_after_valid in any::<bool>()) {
+        let start = if is_after_valid { format!("{COMMON}{AGENT}") } else { String::new() };
+        let file = File::new("any", &format!("{start}{text}"));
+        let path = file.0.display().to_string();
+        let errors = [
+            Settings::<Agent>::open(&file.0).err(),
+            Settings::<Entry>::open(&file.0).err(),
+            Settings::<Control>::open(&file.0).err(),
+        ];
+        for error in errors.into_iter().flatten() {
+            prop_assert!(error.to_string().contains(&path), "{error}");
+        }
+        if let Ok(settings) = Settings::<Control>::open(&file.0) {
+            let peers = settings.common.cluster.control.iter().chain(&settings.role.seeds);
+            prop_assert!(peers.clone().all(|peer| peer.port() > 0 && !peer.ip().is_unspecified()));
+        }
+    }
+}
