fix(wire): counters in messages and stored records are held to a range

What callers saw: nothing yet.

The error names the field, the range and what was found, and for files the file and the offset. A revision that no peer has sent for 2 s no longer counts as news.

Ruled out: bounds by what a process has seen itself, since a process that was away for long may have missed any number of changes.

--- a/crates/hyssopdyke-wire/src/codec.rs
+++ b/crates/hyssopdyke-wire/src/codec.rs
@@ -5,6 +5,7 @@
 use std::marker::PhantomData;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+use crate::range::Check;
 use crate::{Error, Key};
 
 /// Default maximum length of a frame, in bytes.
@@ -44,7 +45,7 @@
     }
 }
 
-impl<M: Message + Default> Decoder for Codec<M> {
+impl<M: Message + Default + Check> Decoder for Codec<M> {
     type Item = M;
     type Error = Error;
 
--- a/crates/hyssopdyke-wire/src/key.rs
+++ b/crates/hyssopdyke-wire/src/key.rs
@@ -9,6 +9,8 @@
 use bytes::{Bytes, BytesMut};
 use prost::Message;
 
+use crate::range::{self, Check};
+
 /// Length in bytes of the tag that sealing adds to a message.
 pub const TAG_BYTES: usize = 16;
 
@@ -43,6 +45,9 @@
     /// The tag is valid, but the content is not a message of the expected type.
     #[error("malformed message: {0}")]
     Malformed(#[from] prost::DecodeError),
+    /// A number of the message is out of its range.
+    #[error("message out of range: {0}")]
+    Range(#[from] range::Error),
     /// The TCP stream failed, or a frame is longer than allowed.
     #[error("session: {0}")]
     Io(#[from] std::io::Error),
@@ -68,12 +73,13 @@
         buffer.extend_from_slice(&tag);
     }
 
-    /// Verifies the tag of `sealed` and decodes its content.
+    /// Verifies the tag of `sealed`, decodes its content, and checks its numbers.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Truncated`], [`Error::InvalidTag`] or [`Error::Malformed`].
-    pub fn open<M: Message + Default>(&self, mut sealed: Bytes) -> Result<M, Error> {
+    /// Returns [`Error::Truncated`], [`Error::InvalidTag`], [`Error::Malformed`] or
+    /// [`Error::Range`].
+    pub fn open<M: Message + Default + Check>(&self, mut sealed: Bytes) -> Result<M, Error> {
         let Some(length) = sealed.len().checked_sub(TAG_BYTES) else {
             return Err(Error::Truncated(sealed.len()));
         };
@@ -82,7 +88,9 @@
         if !constant_time_eq::constant_time_eq(&expected, &tag) {
             return Err(Error::InvalidTag);
         }
-        Ok(M::decode(sealed)?)
+        let message = M::decode(sealed)?;
+        message.check()?;
+        Ok(message)
     }
 
     /// Returns the keys of a 64-bit hash of flows, which callers cannot predict.
--- a/crates/hyssopdyke-wire/src/lib.rs
+++ b/crates/hyssopdyke-wire/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod codec;
 mod key;
+pub mod range;
 
 pub use codec::Codec;
 pub use key::{Error, Key, Purpose, TAG_BYTES};
--- a/crates/hyssopdyke/src/process/journal.rs
+++ b/crates/hyssopdyke/src/process/journal.rs
@@ -13,6 +13,7 @@
 use std::io;
 
 use hyssopdyke_wire::ledger::{Batch, Entry, Snapshot, Vote};
+use hyssopdyke_wire::range::{self, Check};
 use prost::Message;
 
 use super::Disk;
@@ -48,6 +49,16 @@
         /// Byte offset of the record.
         offset: u64,
     },
+    /// A number of a record is out of its range.
+    #[error("{file}: record at byte offset {offset}: {source}")]
+    Range {
+        /// The file in the data directory.
+        file: &'static str,
+        /// Byte offset of the record.
+        offset: u64,
+        /// The number.
+        source: range::Error,
+    },
     /// The entries of the log are not contiguous with each other and the snapshot.
     #[error("log: expected entry {expected}, found entry {found}")]
     Sequence {
@@ -258,6 +269,7 @@
         while offset < bytes.len() {
             match decode(&bytes[offset..]) {
                 Decoded::Complete(batch, length) => {
+                    check(LOG, offset as u64, &batch)?;
                     self.apply(batch)?;
                     offset += length;
                 }
@@ -344,7 +356,11 @@
     }
 }
 
-fn read_single<M: Message + Default, D: Disk>(
+fn check(file: &'static str, offset: u64, message: &impl Check) -> Result<(), Error> {
+    message.check().map_err(|source| Error::Range { file, offset, source })
+}
+
+fn read_single<M: Message + Default + Check, D: Disk>(
     disk: &mut D,
     file: &'static str,
 ) -> Result<Option<M>, Error> {
@@ -353,7 +369,10 @@
         return Ok(None);
     };
     match decode(&bytes) {
-        Decoded::Complete(message, length) if length == bytes.len() => Ok(Some(message)),
+        Decoded::Complete(message, length) if length == bytes.len() => {
+            check(file, 0, &message)?;
+            Ok(Some(message))
+        }
         _ => Err(Error::Damaged { file, offset: 0 }),
     }
 }
--- a/crates/hyssopdyke/tests/journal.rs
+++ b/crates/hyssopdyke/tests/journal.rs
@@ -8,7 +8,11 @@
 use std::rc::Rc;
 
 use hyssopdyke::process::{Disk, Journal, JournalError};
-use hyssopdyke_wire::ledger::{Command, Entry, Snapshot, Vote, command::Body};
+use hyssopdyke_wire::ledger::{Batch, Command, Entry, Snapshot, Vote, command::Body};
+use hyssopdyke_wire::resource::Resource;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use prost::Message;
 
 /// In-memory files that simulate a crash once `budget` bytes were written: the operation in
 /// progress writes only a part, and every later one fails.
@@ -248,3 +252,78 @@
     assert_eq!((reopened.last_index(), reopened.entries().len()), (6, 2));
     assert_eq!((reopened.term(4), reopened.term(3)), (Some(1), None));
 }
+
+/// Writes a record as the journal does.
+fn write_record(disk: &Memory, file: &str, message: &impl Message) {
+    let body = message.encode_to_vec();
+    let length = (body.len() as u32).to_le_bytes();
+    let mut bytes = length.to_vec();
+    bytes.extend(crc32fast::hash(&length).to_le_bytes());
+    bytes.extend(crc32fast::hash(&body).to_le_bytes());
+    bytes.extend(body);
+    bytes.push(0xff);
+    disk.files.borrow_mut().entry(file.into()).or_default().extend(bytes);
+}
+
+#[test]
+fn open_out_of_range() {
+    // Whole records with numbers that nobody can have counted: the next index or term overflowed.
+    let open = |file: &str, write: &dyn Fn(&Memory)| {
+        let disk = Memory::new(usize::MAX);
+        write(&disk);
+        let error = Journal::open(disk).unwrap_err().to_string();
+        assert!(error.starts_with(&format!("{file}: record at byte offset 0: ")), "{error}");
+        error
+    };
+    let error = open("vote", &|disk| {
+        write_record(disk, "vote", &Vote { term: u64::MAX, ..Vote::default() });
+    });
+    assert!(
+        error.ends_with("vote.term: expected at most 9007199254740992, found 18446744073709551615")
+    );
+    open("snapshot", &|disk| write_record(disk, "snapshot", &snapshot(u64::MAX, 1)));
+    let after = Snapshot {
+        resources: vec![Resource { revision: 8, ..Resource::default() }],
+        ..snapshot(7, 1)
+    };
+    open("snapshot", &|disk| write_record(disk, "snapshot", &after));
+    let batch = Batch { previous: u64::MAX, entries: entries(1, 2, 1) };
+    open("log", &|disk| write_record(disk, "log", &batch));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(29),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Files with any content, whole records among them, open as a journal that goes on, or give a
+    /// typed error.
+    #[test]
+    fn open_any_files(
+        bytes in prop::collection::vec(any::<u8>(), 0..120),
+        numbers in prop::collection::vec((any::<u64>(), 0..6_u64, 0..6_u64), 0..4),
+        snapshot_index in prop_oneof![0..5_u64, any::<u64>()],
+        is_torn in any::<bool>(),
+    ) {
+        let disk = Memory::new(usize::MAX);
+        write_record(&disk, "snapshot", &snapshot(snapshot_index, 1));
+        for (any, previous, count) in numbers {
+            let previous = if any % 8 == 0 { any } else { previous };
+            let first = previous.wrapping_add(1);
+            let last = previous.saturating_add(count);
+            write_record(&disk, "log", &Batch { previous, entries: entries(first, last.min(first.saturating_add(5)), 1) });
+        }
+        if is_torn {
+            disk.files.borrow_mut().entry("log".into()).or_default().extend(&bytes);
+        }
+        let Ok(mut journal) = Journal::open(disk.clone()) else { return Ok(()) };
+        let last = journal.last_index();
+        journal.store_entries(last, entries(last + 1, last + 2, 2)).unwrap();
+        let reopened = Journal::open(disk).unwrap();
+        prop_assert_eq!(reopened.last_index(), last + 2);
+        prop_assert_eq!(reopened.term(last + 2), Some(2));
+    }
+}
--- a/crates/hyssopdyked/src/agent/peers.rs
+++ b/crates/hyssopdyked/src/agent/peers.rs
@@ -165,7 +165,7 @@
         return Duration::ZERO;
     }
     let weight = if load.weight > 0 { load.weight } else { UNKNOWN_WEIGHT };
-    WEIGHT_PERIOD * (load.queue + 1) / weight
+    WEIGHT_PERIOD * load.queue.saturating_add(1) / weight
 }
 
 #[cfg(test)]
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -123,7 +123,8 @@
     /// holds it.
     pub(super) fn handle_search_miss(&mut self, flow: &Flow, member: vm::Id, packet: &Bytes) {
         // A peer with a newer revision may have members that were not asked.
-        if !self.searches.record_miss(flow, member, clock::now()) || self.membership.is_behind() {
+        let now = clock::now();
+        if !self.searches.record_miss(flow, member, now) || self.membership.is_behind(now) {
             return;
         }
         if self.awaits_return() {
--- a/crates/hyssopdyked/src/control/consensus/follow.rs
+++ b/crates/hyssopdyked/src/control/consensus/follow.rs
@@ -5,6 +5,7 @@
 use hyssopdyke::process::JournalError;
 use hyssopdyke::version::Registry;
 use hyssopdyke_wire::ledger::{Append, Appended, Install, Snapshot, message::Body};
+use hyssopdyke_wire::range::Check;
 use prost::Message as _;
 use slog::{info, warn};
 
@@ -70,10 +71,19 @@
             return Ok(());
         }
         self.follow_leader(&from, install.term)?;
-        let Ok(snapshot) = Snapshot::decode(install.data) else {
-            warn!(self.events.logger(), "snapshot of the leader is malformed");
-            return Ok(());
+        let snapshot = match Snapshot::decode(install.data) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                warn!(self.events.logger(), "snapshot of the leader is malformed";
+                    "reason" => %error);
+                return Ok(());
+            }
         };
+        if let Err(error) = snapshot.check() {
+            warn!(self.events.logger(), "snapshot of the leader is out of range";
+                "reason" => %error);
+            return Ok(());
+        }
         let index = snapshot.index;
         if index > self.commit_index {
             info!(self.events.logger(), "snapshot installed"; "index" => index);
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -24,6 +24,9 @@
 /// Minimum interval between two pulls.
 const MIN_PULL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which a higher revision in a peer's message counts: longer than its pages take.
+const BEHIND_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Maximum number of peers to ping at once while control does not answer.
 const MAX_PINGED_PEERS: usize = 3;
 
@@ -40,8 +43,8 @@
     /// Whether the daemon was allowed to act until the current view was applied.
     was_active: bool,
     last_pull: Option<Instant>,
-    /// Highest revision in the messages of peers.
-    newest_revision: u64,
+    /// When a peer last sent a higher revision than the current one, and that revision.
+    newer_revision: Option<(u64, Instant)>,
     nonce: u64,
     events: Events,
 }
@@ -57,7 +60,7 @@
             lease: Lease::new(DEFAULT_LEASE),
             was_active: false,
             last_pull: None,
-            newest_revision: 0,
+            newer_revision: None,
             nonce: rand::random(),
             events,
         }
@@ -108,15 +111,22 @@
         is_changed
     }
 
-    /// Returns whether a peer has sent a higher revision than the current one.
-    pub(crate) fn is_behind(&self) -> bool {
-        self.newest_revision > self.revision()
+    /// Returns whether a peer has lately sent a higher revision than the current one.
+    ///
+    /// Peers that have it send it again, and pages with it. One that nobody sends any more may never
+    /// have been control's.
+    pub(crate) fn is_behind(&self, now: Instant) -> bool {
+        self.newer_revision.is_some_and(|(revision, at)| {
+            revision > self.revision() && now.duration_since(at) < BEHIND_TIMEOUT
+        })
     }
 
     /// Pulls changes from a peer whose message has a newer revision.
     pub(crate) fn pull_if_newer(&mut self, link: &mut Link, from: SocketAddr, revision: u64) {
-        self.newest_revision = self.newest_revision.max(revision);
         let now = clock::now();
+        if revision > self.revision() {
+            self.newer_revision = Some((revision, now));
+        }
         let is_due =
             self.last_pull.is_none_or(|last| now.duration_since(last) >= MIN_PULL_INTERVAL);
         if revision <= self.replica.cursor() || !is_due {
--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -6,7 +6,9 @@
 use hyssopdyke_wire::datagram::Pong;
 use hyssopdyke_wire::resource::{Domain, Entry, Resource, Upstream, resource::Body};
 
-use super::{DEFAULT_LEASE, Membership};
+use hyssopdyke_wire::{Key, Purpose};
+
+use super::{BEHIND_TIMEOUT, DEFAULT_LEASE, Link, Membership};
 use crate::clock;
 use crate::log::Events;
 use crate::settings::sample;
@@ -93,6 +95,20 @@
     assert!(membership.may_act(now));
 }
 
+#[tokio::test]
+async fn is_behind_expires() {
+    // One message with a revision that control never had kept an agent from ending any search.
+    let mut membership = membership();
+    follow(&mut membership, &store(false));
+    let address = ([127, 0, 0, 1], 0).into();
+    let mut link = Link::bind(address, Key::derive("any", Purpose::Datagram)).unwrap();
+    membership.pull_if_newer(&mut link, address, 3);
+    assert!(!membership.is_behind(clock::now()));
+    membership.pull_if_newer(&mut link, address, u64::MAX);
+    assert!(membership.is_behind(clock::now()));
+    assert!(!membership.is_behind(clock::now() + BEHIND_TIMEOUT));
+}
+
 impl Membership {
     /// Creates the membership of a daemon that holds a lease and has the state of a store.
     pub(crate) fn with_lease(boot: u64, domain: &str, store: &Store, events: Events) -> Self {
