feat(agent): a flow has an owner once its caller has confirmed it; until then, members have only accepted it

While agents restart, packets of an open flow reach other upstreams only.

Cause, one of two: copies of a first packet are accepted by several agents.

Change: records say whether the caller has confirmed the flow (datagram.Record.unconfirmed). An owner reports the confirmation; it replaces an acceptance, and no acceptance replaces it. Only confirmed flows are taken over or given back. An agent that lost an accepted flow asks its upstream before it says that it does not have it. A caller's copy of its first packet no longer waits for an absent agent that has only accepted it. A packet that acknowledges an upstream is not delivered to one that has not answered.

Why it works: who owns a flow rests on the caller's own packet and no longer on a report that must arrive before a stop.

Evidence: adopt_unconfirmed, record_unconfirmed_then_confirmed, confirmed_after_restart, acknowledged_before_answer, first_packet_again_while_owner_absent, directory_acceptance. Final reports name contested flows as ended, and no longer those that are only late to be confirmed. Ruled out: more retries of final reports (agents stop together).

--- a/crates/hyssopdyke/src/connection/directory.rs
+++ b/crates/hyssopdyke/src/connection/directory.rs
@@ -111,6 +111,9 @@
         owner: vm::Id,
         /// Initial sequence number of the caller; 0 for UDP.
         isn: u32,
+        /// Whether the caller certainly uses this owner. Until then, several members may have
+        /// accepted the flow, and none of them takes it over after a restart.
+        is_confirmed: bool,
         /// Time since which the owner is not among the members.
         absent_since: Option<Instant>,
         /// Whether this process keeps the record or has a copy of it.
@@ -151,12 +154,38 @@
         self.records.insert(flow, Record::Offered(offer));
     }
 
-    /// Records that `owner` has accepted a flow.
+    /// Records that `owner` has accepted a flow, which the caller has not confirmed yet.
     ///
-    /// If another owner that is still a member is already recorded, returns that owner and keeps
-    /// its record. The second owner must then give up the flow.
+    /// If another owner that is still a member is already recorded, or one that the caller has
+    /// confirmed, returns that owner and keeps its record. The second owner then has the flow only
+    /// until the caller confirms one of them.
+    pub fn record_acceptance(&mut self, flow: Flow, owner: vm::Id, isn: u32) -> Option<vm::Id> {
+        if let Some(Record::Owned {
+            owner: first,
+            isn: first_isn,
+            is_confirmed,
+            absent_since,
+            ..
+        }) = self.records.get(&flow)
+        {
+            let is_same_flow = *is_confirmed && *first_isn == isn;
+            if *first == owner && is_same_flow {
+                return None;
+            }
+            if *first != owner && (is_same_flow || absent_since.is_none()) {
+                return Some(*first);
+            }
+        }
+        self.insert_owned(flow, owner, isn, false);
+        None
+    }
+
+    /// Records that `owner` has a flow that its caller has confirmed.
+    ///
+    /// If another such owner that is still a member is already recorded, returns that owner and
+    /// keeps its record. The second owner must then give up the flow.
     pub fn record_owner(&mut self, flow: Flow, owner: vm::Id, isn: u32) -> Option<vm::Id> {
-        if let Some(Record::Owned { owner: first, absent_since: None, .. }) =
+        if let Some(Record::Owned { owner: first, is_confirmed: true, absent_since: None, .. }) =
             self.records.get(&flow)
             && *first != owner
         {
@@ -168,8 +197,13 @@
 
     /// Records that the caller of a flow continues with `owner`, replacing any other record.
     pub fn confirm_owner(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
+        self.insert_owned(flow, owner, isn, true);
+    }
+
+    fn insert_owned(&mut self, flow: Flow, owner: vm::Id, isn: u32, is_confirmed: bool) {
         let (absent_since, custody) = (None, Custody::Kept);
-        self.records.insert(flow, Record::Owned { owner, isn, absent_since, custody });
+        let record = Record::Owned { owner, isn, is_confirmed, absent_since, custody };
+        self.records.insert(flow, record);
     }
 
     /// Removes the record of a flow if it is owned by `owner`.
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use hyssopdyke::connection::{
-    self, Cache, Directory, Event, Flow, Offer, Openings, Protocol, Searches, Table,
+    self, Cache, Directory, Event, Flow, Offer, Openings, Protocol, Record, Searches, Table,
 };
 use hyssopdyke::request::{Packet, ParseError, Reset, Segment};
 
@@ -331,6 +331,33 @@
     assert!(accepts(&table, 480), "a late acknowledgement of a confirmed flow was rejected");
 }
 
+#[test]
+fn directory_acceptance() {
+    // Several members accept a flow. The first one is on record until the caller confirms another.
+    let mut directory = Directory::new();
+    assert_eq!(directory.record_acceptance(flow(1), 7, 100), None);
+    assert_eq!(directory.record_acceptance(flow(1), 8, 100), Some(7));
+    assert_eq!(directory.record_owner(flow(1), 8, 100), None, "the caller uses this one");
+    assert_eq!(directory.record_acceptance(flow(1), 7, 100), Some(8));
+    // A late acceptance does not replace the owner, nor while it restarts.
+    assert_eq!(directory.record_acceptance(flow(1), 8, 100), None);
+    directory.mark_absent(Instant::now(), |vm| vm != 8);
+    assert_eq!(directory.record_acceptance(flow(1), 7, 100), Some(8));
+    assert!(matches!(
+        directory.get(&flow(1)),
+        Some(Record::Owned { owner: 8, is_confirmed: true, absent_since: Some(_), .. })
+    ));
+    // A new flow between the same endpoints.
+    assert_eq!(directory.record_acceptance(flow(1), 7, 200), None);
+    assert_eq!(directory.record_acceptance(flow(2), 7, 100), None);
+    directory.mark_absent(Instant::now(), |vm| vm != 7);
+    assert_eq!(
+        directory.record_acceptance(flow(2), 8, 100),
+        None,
+        "it may never have had the flow"
+    );
+}
+
 #[test]
 fn directory_confirmed() {
     // Two members have accepted a flow and the first is recorded, but the caller continues with the
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -28,13 +28,18 @@
     ) {
         let is_opening = packet.segment.is_none_or(|segment| segment.is_opening());
         match self.directory.get(&flow) {
-            Some(Record::Owned { owner, isn, absent_since, .. }) => {
+            Some(Record::Owned { owner, isn, is_confirmed, absent_since, .. }) => {
                 let (owner, isn, is_absent) = (*owner, *isn, absent_since.is_some());
+                let may_place_again = is_opening && is_absent && !is_confirmed;
                 if owner == self.own_id {
                     // The flow is closed here: otherwise this agent would already have delivered
                     // the packet as its owner.
                     self.directory.remove(&flow);
                     self.handle_unplaced(flow, packet, forward, from);
+                } else if may_place_again {
+                    // The caller still opens the flow, and the owner's answer may have been lost.
+                    self.directory.remove(&flow);
+                    self.handle_unplaced(flow, packet, forward, from);
                 } else if is_absent {
                     self.metrics.count("dropped.absent");
                     unusual!(self.events, "packet waits for its owner"; "flow" => %flow,
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -64,6 +64,12 @@
         if packet.segment.is_some_and(|segment| !connection.accepts(&segment)) {
             return false;
         }
+        // The caller acknowledges an upstream, and this one has not answered.
+        let is_acknowledging =
+            packet.segment.is_some_and(|segment| !segment.syn && segment.acknowledgement.is_some());
+        if C::RESOLVES_DUPLICATE_OPENS && is_acknowledging && !connection.is_open() {
+            return false;
+        }
         // A new connection between the endpoints of a closed one is placed again.
         let is_reopening = packet
             .segment
@@ -73,18 +79,26 @@
 
     /// Delivers a caller's packet to the upstream.
     pub(super) fn deliver(&mut self, flow: &Flow, packet: &Packet, bytes: &Bytes) {
-        let was_contested = self.is_contested(flow);
+        let before = self.table.get(flow).map(|state| (state.is_contested(), state.is_confirmed()));
         self.table.inbound(flow, packet.segment.as_ref(), clock::now());
         self.metrics.count("delivered");
         self.send_to_upstream(bytes);
-        if was_contested && !self.is_contested(flow) {
-            self.send_confirmation(flow);
+        if let Some((was_contested, false)) = before
+            && self.table.get(flow).is_some_and(connection::State::is_confirmed)
+        {
+            self.handle_confirmation(flow, was_contested);
         }
     }
 
-    /// Returns whether a flow of this agent has another upstream on record as its owner.
-    fn is_contested(&self, flow: &Flow) -> bool {
-        self.table.get(flow).is_some_and(connection::State::is_contested)
+    /// Reports a flow that its caller has just confirmed to the member that keeps its record; at once
+    /// if that member has another owner on record.
+    fn handle_confirmation(&mut self, flow: &Flow, was_contested: bool) {
+        if C::RESOLVES_DUPLICATE_OPENS {
+            self.queue_opened(flow, 0);
+        }
+        if was_contested {
+            self.send_confirmation(flow);
+        }
     }
 
     /// Notifies the holder of a flow's record that the caller has confirmed the flow with this
@@ -165,7 +179,7 @@
             "limit" => self.limit.current(),
             "patience_ms" => terms.max_wait.as_millis() as u64);
         self.metrics.count("admitted");
-        self.queue_opened(&flow, terms.home, isn);
+        self.queue_opened(&flow, terms.home);
         if self.holder(&flow).is_some_and(|holder| holder != terms.home) {
             // No other member has a record of the flow yet. It is reported now: if this agent fails
             // before its next tick, the home must not treat the flow as unknown.
@@ -319,7 +333,7 @@
                 unusual!(self.events, "flow claimed from its upstream"; "flow" => %flow);
                 self.metrics.count("claimed");
                 self.table.insert(*flow, connection::State::adopted(0, now, Class::Exchange));
-                self.queue_opened(flow, 0, 0);
+                self.queue_opened(flow, 0);
                 true
             }
             // The upstream resets a flow that this agent has no entry for.
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -252,14 +252,19 @@
         if accepted.confirmed {
             return self.directory.confirm_owner(flow, owner, isn);
         }
-        self.record_owner(flow, owner, isn);
+        self.record_owner(flow, owner, isn, !C::RESOLVES_DUPLICATE_OPENS);
     }
 
     /// Records the owner of a flow. If the flow already has an owner, notifies the second one of
     /// the first.
-    pub(super) fn record_owner(&mut self, flow: Flow, owner: vm::Id, isn: u32) {
+    pub(super) fn record_owner(&mut self, flow: Flow, owner: vm::Id, isn: u32, is_confirmed: bool) {
         self.searches.finish(&flow);
-        if let Some(first) = self.directory.record_owner(flow, owner, isn) {
+        let first = if is_confirmed {
+            self.directory.record_owner(flow, owner, isn)
+        } else {
+            self.directory.record_acceptance(flow, owner, isn)
+        };
+        if let Some(first) = first {
             self.send(
                 owner,
                 Body::Owner(Owner { flow: Some(flow.into()), vm: first, waiting: false }),
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -11,7 +11,6 @@
 use hyssopdyke_wire::datagram::{Record, Report, Reported, Stage, datagram::Body};
 use slog::info;
 
-use super::upstream::CONFIRM_TIMEOUT;
 use super::worker::Worker;
 use crate::clock;
 use crate::log::unusual;
@@ -120,11 +119,12 @@
             connection::Record::Owned {
                 owner,
                 isn,
+                is_confirmed,
                 absent_since: None,
                 custody: Custody::Moved(_),
             } if pool.find(*owner).is_none() => {
                 let home = pool.top_two(self.hash(flow)).0.filter(|home| *home != own_id)?;
-                Some((home, wire_record(flow, *isn, *owner)))
+                Some((home, wire_record(flow, *isn, *owner, *is_confirmed)))
             }
             _ => None,
         });
@@ -137,33 +137,26 @@
     /// Queues reports of all records to every home before this agent stops.
     ///
     /// Several agents may stop at the same time, among them a flow's owner and the holder of its
-    /// record. Flows that their callers most likely use at another upstream are reported as ended:
-    /// the next process must not take them over.
+    /// record. Flows that another upstream was offered as well, and that their callers have not
+    /// confirmed here, are reported as ended.
     pub(super) fn queue_final_reports(&mut self) {
         let Some(pool) = self.pool.clone() else { return };
-        let now = clock::now();
         let open = || self.table.iter().filter(|(_, state)| !state.is_closed());
         let owned = open().filter(|(_, state)| is_settled::<C>(state));
-        let owned = owned.map(|(flow, state)| self.record(flow, state.isn));
-        let is_abandoned = |state: &connection::State| {
-            let is_late = now.duration_since(state.admitted_at) >= CONFIRM_TIMEOUT;
-            C::RESOLVES_DUPLICATE_OPENS
-                && !state.is_confirmed()
-                && (state.is_contested() || is_late)
-        };
-        let abandoned = open().filter(|(_, state)| is_abandoned(state));
-        let abandoned: Vec<Record> =
-            abandoned.map(|(flow, state)| self.record(flow, state.isn)).collect();
+        let owned = owned.map(|(flow, state)| self.record(flow, state));
+        let contested = open().filter(|(_, state)| state.is_contested());
+        let contested: Vec<Record> =
+            contested.map(|(flow, state)| self.record(flow, state)).collect();
         let recorded = self.directory.iter().filter_map(|(flow, record)| match record {
-            connection::Record::Owned { owner, isn, custody: Custody::Kept, .. } => {
-                Some(wire_record(flow, *isn, *owner))
-            }
+            connection::Record::Owned {
+                owner, isn, is_confirmed, custody: Custody::Kept, ..
+            } => Some(wire_record(flow, *isn, *owner, *is_confirmed)),
             _ => None,
         });
         let records: Vec<Record> = owned.chain(recorded).collect();
         let own_id = self.own_id;
         for home in pool.homes.iter().copied().filter(|home| *home != own_id) {
-            self.queue_changes(home, pool.epoch, &records, &abandoned);
+            self.queue_changes(home, pool.epoch, &records, &contested);
         }
     }
 
@@ -196,8 +189,7 @@
                 let is_open = !state.is_closed() && !state.is_contested();
                 is_open && pool.is_record_holder(self.hash(flow), own_id, to)
             });
-            let owned: Vec<Record> =
-                owned.map(|(flow, state)| self.record(flow, state.isn)).collect();
+            let owned: Vec<Record> = owned.map(|(flow, state)| self.record(flow, state)).collect();
             self.queue_full_report(to, epoch, Stage::Own, &owned);
         }
     }
@@ -225,33 +217,33 @@
     ///
     /// The latter come from the member that has kept the record until now, or from the second-ranked
     /// home, which may have a copy from a member that has left.
-    fn records_for(&self, pool: &Pool, to: vm::Id) -> Vec<Record> {
+    pub(super) fn records_for(&self, pool: &Pool, to: vm::Id) -> Vec<Record> {
         let records = self.directory.iter().filter_map(|(flow, record)| match record {
-            connection::Record::Owned { owner, isn, absent_since, custody } => {
+            connection::Record::Owned { owner, isn, is_confirmed, absent_since, custody } => {
                 let (first, second) = pool.top_two(self.hash(flow));
                 let is_sender = *custody == Custody::Kept || second == Some(self.own_id);
                 let is_lost = absent_since.is_some() && first == Some(to) && is_sender;
-                (*owner == to || is_lost).then(|| wire_record(flow, *isn, *owner))
+                let is_own = *owner == to && *is_confirmed;
+                (is_own || is_lost).then(|| wire_record(flow, *isn, *owner, *is_confirmed))
             }
             connection::Record::Offered(_) => None,
         });
         records.collect()
     }
 
-    /// Queues an opened flow for the report to the member that keeps its record besides the home.
-    pub(super) fn queue_opened(&mut self, flow: &Flow, home: vm::Id, isn: u32) {
-        let record = self.record(flow, isn);
-        if let Some(holder) = self.holder(flow) {
-            // The home records the flow when it gets the answer to its offer.
-            if holder != home {
-                self.pending_records.entry(holder).or_default().opened.push(record);
-            }
+    /// Queues a flow that was opened or confirmed for the report to the member that keeps its record
+    /// besides `home`, which knows already.
+    pub(super) fn queue_opened(&mut self, flow: &Flow, home: vm::Id) {
+        let Some(state) = self.table.get(flow) else { return };
+        let record = self.record(flow, state);
+        if let Some(holder) = self.holder(flow).filter(|holder| *holder != home) {
+            self.pending_records.entry(holder).or_default().opened.push(record);
         }
     }
 
     /// Queues the end of a flow for the report to the member that keeps its record.
     pub(super) fn queue_ended(&mut self, flow: &Flow, isn: u32) {
-        let record = self.record(flow, isn);
+        let record = wire_record(flow, isn, self.own_id, true);
         if let Some(holder) = self.holder(flow) {
             self.pending_records.entry(holder).or_default().ended.push(record);
         }
@@ -259,7 +251,7 @@
 
     /// Queues the end of a flow for reports to all homes.
     pub(super) fn queue_ended_everywhere(&mut self, flow: &Flow, isn: u32) {
-        let record = self.record(flow, isn);
+        let record = wire_record(flow, isn, self.own_id, true);
         let homes = self.pool.iter().flat_map(|pool| pool.homes.iter().copied());
         for home in homes.filter(|home| *home != self.own_id) {
             self.pending_records.entry(home).or_default().ended.push(record.clone());
@@ -331,14 +323,18 @@
             return self.metrics.count("unexpected");
         };
         if record.owner == self.own_id {
-            return self.adopt(flow, record.isn);
+            // A caller that has not confirmed the flow may use another upstream.
+            if !record.unconfirmed {
+                self.adopt(flow, record.isn);
+            }
+            return;
         }
         if C::CAN_RESET_OPEN_FLOWS
             && pool.out_members.iter().any(|member| member.vm == record.owner)
         {
             return;
         }
-        self.record_owner(flow, record.owner, record.isn);
+        self.record_owner(flow, record.owner, record.isn, !record.unconfirmed);
         if !pool.is_record_holder(self.hash(&flow), record.owner, self.own_id) {
             // From the final report of a leaving member: the owner of the flow, and the member that
             // would keep its record next, may be about to stop as well.
@@ -395,8 +391,9 @@
     }
 
     /// Returns the record of a flow of this agent.
-    fn record(&self, flow: &Flow, isn: u32) -> Record {
-        wire_record(flow, isn, self.own_id)
+    fn record(&self, flow: &Flow, state: &connection::State) -> Record {
+        let is_confirmed = !C::RESOLVES_DUPLICATE_OPENS || state.is_confirmed();
+        wire_record(flow, state.isn, self.own_id, is_confirmed)
     }
 }
 
@@ -422,6 +419,6 @@
 }
 
 /// Builds the record of a flow for a report.
-fn wire_record(flow: &Flow, isn: u32, owner: vm::Id) -> Record {
-    Record { flow: Some((*flow).into()), isn, owner }
+fn wire_record(flow: &Flow, isn: u32, owner: vm::Id, is_confirmed: bool) -> Record {
+    Record { flow: Some((*flow).into()), isn, owner, unconfirmed: !is_confirmed }
 }
--- a/crates/hyssopdyked/src/agent/search.rs
+++ b/crates/hyssopdyked/src/agent/search.rs
@@ -91,21 +91,22 @@
 
     /// Sends the upstream a packet, which it returns if it does not hold the flow. An upstream that has
     /// not reported to this process yet may hold it as well.
-    fn query_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
+    pub(super) fn query_upstream(&mut self, flow: Flow, bytes: &Bytes, home: vm::Id) {
         let now = clock::now();
         if !self.may_have_unknown_flows(now) || self.has_no_upstream(now) {
             return self.report_missed(flow, home, bytes);
         }
         self.upstream_searches
             .retain(|_, (_, since)| now.duration_since(*since) < UPSTREAM_ANSWER_TIMEOUT);
+        unusual!(self.events, "upstream asked for a flow"; "flow" => %flow,
+            "home" => &*self.vm_name(home));
         self.upstream_searches.insert(flow, (home, now));
         self.send_to_upstream(bytes);
     }
 
     /// Reports to the home of a searched flow that this agent serves it.
     pub(super) fn report_found(&mut self, flow: &Flow) {
-        let isn = self.table.get(flow).map_or(0, |state| state.isn);
-        self.queue_opened(flow, 0, isn);
+        self.queue_opened(flow, 0);
         self.flush_pending_records();
         self.send_reports();
     }
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -428,6 +428,18 @@
         } else if let (Some(home), Some(hops)) = (home, forward.hops.checked_sub(1)) {
             self.send_owner_hint(&forward, &flow, 0);
             self.send(home, Body::Forward(Forward { hops, ..forward }));
+        } else {
+            self.disclaim(flow, &forward.packet, from);
+        }
+    }
+
+    /// Tells the home of a flow that this agent does not own it. If a former process may have accepted
+    /// it, and the caller may have confirmed it since, its upstream is asked before.
+    fn disclaim(&mut self, flow: Flow, bytes: &Bytes, from: SocketAddr) {
+        let may_hold = self.may_have_unknown_flows(clock::now());
+        if let Some(home) = self.peers.id(from).filter(|_| C::RESOLVES_DUPLICATE_OPENS && may_hold)
+        {
+            self.query_upstream(flow, bytes, home);
         } else if !self.is_recovering {
             let flow = Some(flow.into());
             self.send_to(from, Body::Unknown(Unknown { flow, ..Unknown::default() }));
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -338,6 +338,21 @@
     }
 }
 
+/// Builds the record of a flow that its caller has confirmed.
+fn record(flow: Flow, owner: vm::Id) -> Record {
+    Record { flow: Some(flow.into()), isn: CALLER_ISN, owner, unconfirmed: false }
+}
+
+/// Returns the records of opened flows in an incremental report.
+fn opened_records(body: Body) -> Option<Vec<Record>> {
+    match body {
+        Body::Report(report) if report.parts == 0 && !report.opened.is_empty() => {
+            Some(report.opened)
+        }
+        _ => None,
+    }
+}
+
 fn forward(packet: Bytes) -> Body {
     Body::Forward(Forward { packet, hops: 1, ..Forward::default() })
 }
@@ -612,7 +627,7 @@
     let mut harness = Harness::open().await;
     let (kept, handed_over) = (Harness::id(1), Harness::id(0));
     let flow = harness.flow(harness.port_at_home(kept));
-    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: handed_over };
+    let record = record(flow, handed_over);
     harness
         .send_from_peer(0, Body::Report(Report { opened: vec![record], ..Report::default() }))
         .await;
@@ -632,7 +647,7 @@
     // copies were passed on, each leaving member would send more than the one before.
     let mut harness = Harness::open().await;
     let flow = harness.flow(harness.port_at_home(Harness::id(1)));
-    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: Harness::id(0) };
+    let record = record(flow, Harness::id(0));
     harness
         .send_from_peer(0, Body::Report(Report { opened: vec![record], ..Report::default() }))
         .await;
@@ -677,7 +692,7 @@
     let mut harness = Harness::open().await;
     harness.worker.is_recovering = true;
     let flow = harness.flow(1001);
-    let record = Record { flow: Some(flow.into()), isn: CALLER_ISN, owner: harness.worker.own_id };
+    let record = record(flow, harness.worker.own_id);
     let report = Body::Report(Report { opened: vec![record], ..Report::default() });
     harness.send_from_peer(0, report.clone()).await;
     assert!(harness.worker.table.get(&flow).is_some(), "not adopted");
@@ -736,7 +751,7 @@
             _ => None,
         })
         .await;
-    assert_eq!(report.opened, [Record { flow: Some(flow.into()), isn: CALLER_ISN, owner }]);
+    assert_eq!(report.opened, [record(flow, owner)]);
 }
 
 #[tokio::test]
@@ -927,3 +942,94 @@
         .to_vec();
     assert_eq!(held, [false, false, true]);
 }
+
+#[tokio::test]
+async fn record_unconfirmed_then_confirmed() {
+    // Until the caller acknowledges the upstream, other members know the flow only as accepted.
+    let mut harness = Harness::open().await;
+    // The home has placed the flow in place of the other peer, which keeps its record.
+    let port = harness.port_at_home(Harness::id(1));
+    harness.open_flow(port, 0).await;
+    let flow = harness.flow(port);
+    let expected = record(flow, harness.worker.own_id);
+    harness.worker.outbox.retain(|_, _| false);
+    harness.worker.queue_opened(&flow, 0);
+    harness.worker.tick();
+    let accepted = harness.receive_at_peer(1, opened_records).await;
+    assert_eq!(accepted, [Record { unconfirmed: true, ..expected.clone() }]);
+    harness.worker.outbox.retain(|_, _| false);
+    harness.send_from_peer(0, forward(harness.request(port, UPSTREAM_ISN))).await;
+    harness.worker.tick();
+    assert_eq!(harness.receive_at_peer(1, opened_records).await, [expected]);
+}
+
+#[tokio::test]
+async fn adopt_unconfirmed() {
+    // Copies of a first packet were accepted by several agents, which all took the flow over when they
+    // started again. Packets of the open flow reached their upstreams, while its own agent was down.
+    let mut harness = Harness::open().await;
+    harness.worker.is_recovering = true;
+    let flow = harness.flow(1001);
+    let accepted = Record { unconfirmed: true, ..record(flow, harness.worker.own_id) };
+    let report = Body::Report(Report { opened: vec![accepted], ..Report::default() });
+    harness.send_from_peer(0, report).await;
+    assert!(harness.worker.table.get(&flow).is_none(), "taken over, though not confirmed");
+    // Nor does this agent let another one take over a flow that it has only accepted.
+    let (peer, other) = (Harness::id(0), harness.flow(1002));
+    harness.worker.directory.record_acceptance(other, peer, CALLER_ISN);
+    let pool = harness.worker.pool.clone().unwrap();
+    assert!(harness.worker.records_for(&pool, peer).is_empty());
+    harness.worker.directory.record_owner(other, peer, CALLER_ISN);
+    assert_eq!(harness.worker.records_for(&pool, peer), [record(other, peer)]);
+}
+
+#[tokio::test]
+async fn confirmed_after_restart() {
+    // The agent stopped between the upstream's answer and the caller's confirmation. Its next process
+    // asks the upstream before it gives the flow up.
+    let mut harness = Harness::open().await;
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    let port = harness.port_at_home(Harness::id(0));
+    let (request, flow) = (harness.request(port, UPSTREAM_ISN), harness.flow(port));
+    let from_home = Forward { packet: request.clone(), hops: 0, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(from_home)).await;
+    assert_eq!(Harness::receive(&harness.upstream).await, request);
+    let caller = ([127, 0, 0, 1], port);
+    let answer = encode(SERVICE, caller, (UPSTREAM_ISN + 1, CALLER_ISN + 9), ACK, b"answer");
+    harness.send_from_upstream(&answer).await;
+    assert_eq!(Harness::receive(&harness.caller).await, answer);
+    assert!(harness.worker.table.get(&flow).is_some_and(connection::State::is_confirmed));
+}
+
+#[tokio::test]
+async fn acknowledged_before_answer() {
+    // The caller acknowledges another upstream, before the agent's own has answered its first packet.
+    let mut harness = Harness::open().await;
+    let port = harness.port_at_home(Harness::id(0));
+    let (packet, _) = harness.packet(port, CALLER_ISN, 0, SYN, b"");
+    let offer = Offer { packet, patience_ms: 1000, ..Offer::default() };
+    harness.send_from_peer(0, Body::Offer(offer)).await;
+    assert_eq!(Harness::receive(&harness.upstream).await[12], SYN);
+    let request = harness.request(port, OTHER_UPSTREAM_ISN);
+    harness.send_from_peer(0, forward(request)).await;
+    assert!(Harness::is_silent(&harness.upstream).await, "a packet for another upstream");
+    assert!(harness.worker.table.get(&harness.flow(port)).is_none());
+}
+
+#[tokio::test]
+async fn first_packet_again_while_owner_absent() {
+    // The only agent that has accepted a flow stopped before its upstream's answer reached the caller.
+    // The caller's copies waited for it to return, instead of going to another upstream.
+    let mut harness = Harness::open().await;
+    let port = harness.port_at_home(harness.worker.own_id);
+    let (flow, peer) = (harness.flow(port), Harness::id(0));
+    harness.worker.directory.record_acceptance(flow, peer, CALLER_ISN);
+    harness.change_members(|pool| pool.members.retain(|member| member.vm != peer));
+    let (copy, _) = harness.packet(port, CALLER_ISN, 1, SYN, b"");
+    harness.send_from_peer(1, forward(copy)).await;
+    let is_waiting = matches!(
+        harness.worker.directory.get(&flow),
+        Some(connection::Record::Owned { absent_since: Some(_), .. })
+    );
+    assert!(!is_waiting, "waits for an agent that may never have had the flow");
+}
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -91,7 +91,7 @@
     let flow: hyssopdyke_wire::datagram::Flow = flow(1).into();
     let flow = Some(flow);
     let packet = bytes::Bytes::from(vec![0; 60]);
-    let record = Record { flow: flow.clone(), isn: u32::MAX, owner: u64::MAX };
+    let record = Record { flow: flow.clone(), isn: u32::MAX, owner: u64::MAX, unconfirmed: true };
     let report =
         Report { sequence: 99_999, epoch: 99_999, opened: vec![record], ..Report::default() };
     let forward = Forward {
