feat(agent): a search touches upstreams last, and confirmed owners stay in the entries' caches

Cause: a search sent the caller's packet at once to each upstream that might hold the flow, also when another member had the flow on record. Searches were frequent, since an agent that came back told the entry, which had it as the owner in its cache, to forget it.

Change: members are first asked for records only; one whose owner is away hands its record over. Upstreams are asked if nobody has one, once per upstream and flow. Owners tell the entry that their flow is confirmed; notices of others that have only accepted it no longer replace that. A packet that comes by such a line to an agent that may have lost the flow goes to its upstream first.

Why it works: the entry's line and the records name one upstream, so that the packet reaches that one or none.

Tests: searches_ask_upstreams_last, searches_silent_member, search_in_two_steps, forward_to_cached_owner, cache_confirmed; search_before_first_report asks for both steps.

--- a/crates/hyssopdyke/src/connection/cache.rs
+++ b/crates/hyssopdyke/src/connection/cache.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Line {
     owner: vm::Id,
+    /// Whether the caller has confirmed the owner.
+    is_confirmed: bool,
     /// Sequence number of the last packet that was sent to the owner; 0 before the first.
     sequence: u32,
 }
@@ -30,14 +32,18 @@
         Self { generation_lines: lines.div_ceil(2), ..Self::default() }
     }
 
-    /// Returns the owner of a flow, and moves its line to the young generation.
-    pub fn owner(&mut self, flow: u64) -> Option<vm::Id> {
-        if let Some(line) = self.young.get(&flow) {
-            return Some(line.owner);
+    /// Returns the owner of a flow, and whether its caller has confirmed the owner. Moves its line to
+    /// the young generation.
+    pub fn owner(&mut self, flow: u64) -> Option<(vm::Id, bool)> {
+        let line = self.line(flow)?;
+        Some((line.owner, line.is_confirmed))
+    }
+
+    fn line(&mut self, flow: u64) -> Option<&mut Line> {
+        if let Some(line) = self.old.remove(&flow) {
+            self.add(flow, line);
         }
-        let line = self.old.remove(&flow)?;
-        self.add(flow, line);
-        Some(line.owner)
+        self.young.get_mut(&flow)
     }
 
     /// Records the sequence number of a packet to the owner. Returns true if it equals that of the
@@ -47,12 +53,27 @@
         line.is_some_and(|line| std::mem::replace(&mut line.sequence, sequence) == sequence)
     }
 
-    /// Caches the owner of a flow.
+    /// Caches a member that has accepted a flow, unless the caller has confirmed another one.
     pub fn insert(&mut self, flow: u64, owner: vm::Id) {
-        self.add(flow, Line { owner, sequence: 0 });
+        if !self.line(flow).is_some_and(|line| line.is_confirmed) {
+            self.add(flow, Line { owner, is_confirmed: false, sequence: 0 });
+        }
+    }
+
+    /// Caches the owner of a flow that its caller has confirmed.
+    pub fn confirm(&mut self, flow: u64, owner: vm::Id) {
+        self.add(flow, Line { owner, is_confirmed: true, sequence: 0 });
+    }
+
+    /// Records that a caller opens a flow, so that any member may accept it.
+    pub fn reopen(&mut self, flow: u64) {
+        if let Some(line) = self.line(flow) {
+            line.is_confirmed = false;
+        }
     }
 
     fn add(&mut self, flow: u64, line: Line) {
+        self.old.remove(&flow);
         if self.young.len() >= self.generation_lines && !self.young.contains_key(&flow) {
             self.old = std::mem::take(&mut self.young);
         }
--- a/crates/hyssopdyke/src/connection/mod.rs
+++ b/crates/hyssopdyke/src/connection/mod.rs
@@ -13,6 +13,6 @@
 pub use directory::{Custody, Directory, Offer, Record, Round};
 pub use flow::{Error, Flow, Protocol};
 pub use openings::Openings;
-pub use search::Searches;
+pub use search::{Miss, Question, Searches, Step};
 pub use state::{Class, Event, State};
 pub use table::{Ends, Table};
--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use hyssopdyke::connection::{
-    self, Cache, Directory, Event, Flow, Offer, Openings, Protocol, Record, Searches, Table,
+    self, Cache, Directory, Event, Flow, Miss, Offer, Openings, Protocol, Question, Record,
+    Searches, Step, Table,
 };
 use hyssopdyke::request::{Packet, ParseError, Reset, Segment};
 
@@ -221,12 +222,27 @@
     for flow in 0..10_000 {
         cache.insert(flow, 1);
         assert!(cache.len() <= 101, "{}", cache.len());
-        assert_eq!(cache.owner(0), Some(1), "a line in use was evicted");
+        assert_eq!(cache.owner(0), Some((1, false)), "a line in use was evicted");
     }
     cache.remove(0);
     assert_eq!(cache.owner(0), None);
 }
 
+#[test]
+fn cache_confirmed() {
+    // Several members have accepted a flow. Late notices of the others replaced the one that the caller
+    // has confirmed.
+    let mut cache = Cache::new(100);
+    cache.insert(1, 7);
+    cache.confirm(1, 8);
+    cache.insert(1, 7);
+    assert_eq!(cache.owner(1), Some((8, true)));
+    // A new flow between the same endpoints.
+    cache.reopen(1);
+    cache.insert(1, 7);
+    assert_eq!(cache.owner(1), Some((7, false)));
+}
+
 #[test]
 fn cache_repeated() {
     let mut cache = Cache::new(100);
@@ -370,29 +386,75 @@
     assert_eq!(directory.record_owner(flow(1), 7, 100), Some(8));
 }
 
+/// Starts a search for flow 1.
+fn search(searches: &mut Searches, members: &[u64], now: Instant) -> bool {
+    searches.start(flow(1), Bytes::from_static(b"packet"), members, now)
+}
+
+fn question(members: &[u64]) -> Question {
+    let packet = Bytes::from_static(b"packet");
+    Question { flow: flow(1), packet, members: members.to_vec() }
+}
+
 #[test]
 fn searches_all_miss() {
     let start = Instant::now();
     let mut searches = Searches::new();
-    assert!(searches.start(flow(1), &[1, 2], start));
-    assert!(!searches.start(flow(1), &[1, 2], start), "two searches for a flow run concurrently");
-    assert!(!searches.record_miss(&flow(1), 1, start));
-    assert!(!searches.record_miss(&flow(1), 1, start), "a member's answer was counted twice");
-    assert!(!searches.record_miss(&flow(2), 2, start));
-    assert!(searches.record_miss(&flow(1), 2, start));
-    assert!(!searches.record_miss(&flow(1), 2, start));
-    assert!(searches.start(flow(1), &[1], start + SECOND), "a flow cannot be searched again");
-    assert!(!searches.record_miss(&flow(1), 1, start + 2 * SECOND), "a late answer was counted");
+    let certain = |searches: &mut Searches, flow, member, at| {
+        searches.record_miss(&flow, member, Miss::Certain, at)
+    };
+    assert!(search(&mut searches, &[1, 2], start));
+    assert!(!search(&mut searches, &[1, 2], start), "two searches for a flow run concurrently");
+    assert_eq!(certain(&mut searches, flow(1), 1, start), Step::Wait);
+    assert_eq!(certain(&mut searches, flow(1), 1, start), Step::Wait, "an answer counted twice");
+    assert_eq!(certain(&mut searches, flow(2), 2, start), Step::Wait);
+    assert_eq!(certain(&mut searches, flow(1), 2, start), Step::NotFound);
+    assert_eq!(certain(&mut searches, flow(1), 2, start), Step::Wait);
+    assert!(search(&mut searches, &[1], start + SECOND), "a flow cannot be searched again");
+    let late = certain(&mut searches, flow(1), 1, start + 2 * SECOND);
+    assert_eq!(late, Step::Wait, "a late answer was counted");
 }
 
 #[test]
 fn searches_found() {
     let start = Instant::now();
     let mut searches = Searches::new();
-    searches.start(flow(1), &[1, 2], start);
-    searches.record_miss(&flow(1), 1, start);
+    search(&mut searches, &[1, 2], start);
+    searches.record_miss(&flow(1), 1, Miss::Certain, start);
     searches.finish(&flow(1));
-    assert!(!searches.record_miss(&flow(1), 2, start), "a flow that was found counted as missing");
+    let step = searches.record_miss(&flow(1), 2, Miss::Certain, start);
+    assert_eq!(step, Step::Wait, "a flow that was found counted as missing");
+}
+
+#[test]
+fn searches_ask_upstreams_last() {
+    // A search sent the packet of an open flow to every upstream that might hold it, while other
+    // members had the flow on record.
+    let start = Instant::now();
+    let mut searches = Searches::new();
+    search(&mut searches, &[1, 2, 3], start);
+    assert_eq!(searches.record_miss(&flow(1), 1, Miss::Unsure, start), Step::Wait);
+    assert_eq!(searches.record_miss(&flow(1), 2, Miss::Certain, start), Step::Wait);
+    assert!(searches.take_overdue(start).is_empty());
+    let step = searches.record_miss(&flow(1), 3, Miss::Unsure, start);
+    assert_eq!(step, Step::Ask(question(&[1, 3])));
+    assert!(searches.take_overdue(start + SECOND / 2).is_empty(), "asked twice");
+    assert_eq!(searches.record_miss(&flow(1), 3, Miss::Certain, start), Step::Wait);
+    assert_eq!(searches.record_miss(&flow(1), 1, Miss::Certain, start), Step::NotFound);
+}
+
+#[test]
+fn searches_silent_member() {
+    // A member that does not answer delays the second step, but nobody is told that the flow does not
+    // exist.
+    let start = Instant::now();
+    let mut searches = Searches::new();
+    search(&mut searches, &[1, 2], start);
+    assert_eq!(searches.record_miss(&flow(1), 1, Miss::Unsure, start), Step::Wait);
+    let later = start + SECOND * 2 / 5;
+    assert_eq!(searches.take_overdue(later), [question(&[1])]);
+    assert_eq!(searches.record_miss(&flow(1), 1, Miss::Certain, later), Step::Wait);
+    assert_eq!(searches.record_miss(&flow(1), 2, Miss::Certain, later), Step::Wait);
 }
 
 #[test]
--- a/crates/hyssopdyked/src/agent/home.rs
+++ b/crates/hyssopdyked/src/agent/home.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hyssopdyke::connection::{Flow, Record};
+use hyssopdyke::connection::{Flow, Miss, Record};
 use hyssopdyke::request::{Packet, PacketCodec};
 use hyssopdyke_wire::datagram::{Forward, Unknown, datagram::Body};
 
@@ -29,7 +29,8 @@
         let is_opening = packet.segment.is_none_or(|segment| segment.is_opening());
         match self.directory.get(&flow) {
             Some(Record::Owned { owner, isn, is_confirmed, absent_since, .. }) => {
-                let (owner, isn, is_absent) = (*owner, *isn, absent_since.is_some());
+                let (owner, isn, is_confirmed) = (*owner, *isn, *is_confirmed);
+                let is_absent = absent_since.is_some();
                 let may_place_again = is_opening && is_absent && !is_confirmed;
                 if owner == self.own_id {
                     // The flow is closed here: otherwise this agent would already have delivered
@@ -48,7 +49,7 @@
                     let entry = decode_address(forward.entry_address, forward.entry_port);
                     self.offer_to_former_owner(flow, owner, forward.packet, entry);
                 } else {
-                    self.send_owner_hint(&forward, &flow, owner);
+                    self.send_owner_hint(&forward, &flow, owner, is_confirmed);
                     self.send(owner, Body::Forward(Forward { hops: 0, ..forward }));
                 }
             }
@@ -90,9 +91,12 @@
         else {
             return self.metrics.count("unexpected");
         };
+        if unknown.unsure {
+            return self.handle_search_miss(&flow, vm, Miss::Unsure, &unknown.packet);
+        }
         self.directory.remove_owned(&flow, vm, None);
         if unknown.searched {
-            self.handle_search_miss(&flow, vm, &unknown.packet);
+            self.handle_search_miss(&flow, vm, Miss::Certain, &unknown.packet);
         }
     }
 
--- a/crates/hyssopdyked/src/agent/owner.rs
+++ b/crates/hyssopdyked/src/agent/owner.rs
@@ -77,8 +77,8 @@
         !(connection.is_closed() && is_reopening)
     }
 
-    /// Delivers a caller's packet to the upstream.
-    pub(super) fn deliver(&mut self, flow: &Flow, packet: &Packet, bytes: &Bytes) {
+    /// Delivers a caller's packet to the upstream. Returns whether it has confirmed the flow.
+    pub(super) fn deliver(&mut self, flow: &Flow, packet: &Packet, bytes: &Bytes) -> bool {
         let before = self.table.get(flow).map(|state| (state.is_contested(), state.is_confirmed()));
         self.table.inbound(flow, packet.segment.as_ref(), clock::now());
         self.metrics.count("delivered");
@@ -87,7 +87,9 @@
             && self.table.get(flow).is_some_and(connection::State::is_confirmed)
         {
             self.handle_confirmation(flow, was_contested);
+            return true;
         }
+        false
     }
 
     /// Reports a flow that its caller has just confirmed to the member that keeps its record; at once
@@ -127,7 +129,7 @@
         let answer = match self.admit(terms, flow, &packet, &route, &offer.packet) {
             Ok(()) => {
                 let entry = decode_address(offer.entry_address, offer.entry_port);
-                self.notify_entry(&flow, entry);
+                self.notify_entry(&flow, entry, false);
                 Body::Accepted(Accepted { flow: Some(flow.into()), confirmed: false })
             }
             Err(reason) => {
@@ -139,11 +141,11 @@
         self.send_to(from, answer);
     }
 
-    /// Notifies an entry that this agent owns a flow.
-    pub(super) fn notify_entry(&mut self, flow: &Flow, entry: Option<SocketAddr>) {
+    /// Notifies an entry that this agent has accepted a flow, or that the caller has confirmed it.
+    pub(super) fn notify_entry(&mut self, flow: &Flow, entry: Option<SocketAddr>, confirmed: bool) {
         if let Some(entry) = entry {
             let (flow, vm) = (Some((*flow).into()), self.own_id);
-            self.send_to(entry, Body::Owner(Owner { flow, vm, waiting: false }));
+            self.send_to(entry, Body::Owner(Owner { flow, vm, waiting: false, confirmed }));
         }
     }
 
@@ -172,6 +174,7 @@
         self.end_flow(&flow);
         self.check_admission(terms, &flow, route)?;
         let isn = packet.segment.map_or(0, |segment| segment.sequence);
+        self.returned_flows.remove(&flow);
         self.table.insert(flow, connection::State::new(isn, now, route.class));
         routine!(self.events, "flow admitted"; "flow" => %flow,
             "home" => &*self.vm_name(terms.home),
@@ -351,6 +354,7 @@
         if packet.segment.is_some_and(|segment| segment.is_opening()) {
             return self.return_opening(flow, &self.codec.decode_returned(bytes));
         }
+        self.record_returned(flow);
         if let Some((home, _)) = self.upstream_searches.remove(&flow) {
             return self.report_missed(flow, home, &self.codec.decode_returned(bytes));
         }
--- a/crates/hyssopdyked/src/agent/placement.rs
+++ b/crates/hyssopdyked/src/agent/placement.rs
@@ -209,7 +209,7 @@
         };
         let is_admitted = self.admit(terms, flow, &packet, &route, &bytes).is_ok();
         if is_admitted {
-            self.notify_entry(&flow, entry);
+            self.notify_entry(&flow, entry, false);
             self.directory.remove(&flow);
         } else if let Some(offer) = self.directory.offer_mut(&flow) {
             offer.declined.push(self.own_id);
@@ -267,7 +267,7 @@
         if let Some(first) = first {
             self.send(
                 owner,
-                Body::Owner(Owner { flow: Some(flow.into()), vm: first, waiting: false }),
+                Body::Owner(Owner { flow: Some(flow.into()), vm: first, ..Owner::default() }),
             );
         }
     }
--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -419,6 +419,6 @@
 }
 
 /// Builds the record of a flow for a report.
-fn wire_record(flow: &Flow, isn: u32, owner: vm::Id, is_confirmed: bool) -> Record {
+pub(super) fn wire_record(flow: &Flow, isn: u32, owner: vm::Id, is_confirmed: bool) -> Record {
     Record { flow: Some((*flow).into()), isn, owner, unconfirmed: !is_confirmed }
 }
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -24,7 +24,7 @@
 const MISSED_HEARTBEATS: u32 = 2;
 
 /// Age after which a flow counts as ended even if neither end has closed it.
-const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
+pub(super) const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
 
 /// Time within which an upstream on the same VM must answer a first packet. Shorter than the time
 /// after which callers retransmit the packet, so that the retransmission goes to another upstream.
--- a/crates/hyssopdyked/src/agent/waiting.rs
+++ b/crates/hyssopdyked/src/agent/waiting.rs
@@ -76,7 +76,7 @@
         routine!(self.events, "flow waits for room"; "flow" => %flow);
         if let Some(entry) = entry {
             let (flow, vm) = (Some((*flow).into()), self.own_id);
-            self.send_to(entry, Body::Owner(Owner { flow, vm, waiting: true }));
+            self.send_to(entry, Body::Owner(Owner { flow, vm, waiting: true, ..Owner::default() }));
         }
     }
 
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use eyre::Result;
-use hyssopdyke::connection::{Directory, Flow, Searches, Table};
+use hyssopdyke::connection::{Directory, Flow, Miss, Searches, Table};
 use hyssopdyke::process::{Barrier, HoldQueue, Limit, Outbox, ReportPlan, Upstream, WarmupLimiter};
 use hyssopdyke::request::{Packet, PacketCodec, Scheduler};
 use hyssopdyke::version::{Pool, Route};
@@ -25,6 +25,7 @@
 use tokio::time::{Interval, interval};
 
 use super::peers::Peers;
+use super::upstream::MAX_FLOW_AGE;
 use crate::clock;
 use crate::log::Events;
 use crate::metrics::Metrics;
@@ -122,6 +123,8 @@
     /// Flows searched at the upstream, with the home to notify if the upstream returns the packet,
     /// and the start of the search.
     pub(super) upstream_searches: HashMap<Flow, (vm::Id, Instant)>,
+    /// Flows that the upstream was found not to hold, and when.
+    pub(super) returned_flows: HashMap<Flow, Instant>,
     /// Members that have reported their records of other agents' flows.
     pub(super) records_barrier: Barrier,
     /// Members that have reported their own flows.
@@ -190,6 +193,7 @@
             searches: Searches::new(),
             disowned: HashSet::new(),
             upstream_searches: HashMap::new(),
+            returned_flows: HashMap::new(),
             records_barrier: Barrier::new(),
             owned_barrier: Barrier::new(),
             report_plan: ReportPlan::new(),
@@ -405,9 +409,12 @@
         };
         let flow = packet.inbound_flow();
         if self.is_owned(&flow, &packet) {
-            self.deliver(&flow, &packet, &forward.packet);
+            let is_confirmed_now = self.deliver(&flow, &packet, &forward.packet);
             if forward.search {
                 self.report_found(&flow);
+            } else if is_confirmed_now && C::RESOLVES_DUPLICATE_OPENS {
+                let entry = decode_address(forward.entry_address, forward.entry_port);
+                self.notify_entry(&flow, entry, true);
             }
             return;
         }
@@ -422,11 +429,16 @@
         // packets of the closed flow.
         self.end_flow(&flow);
         let home = self.home_of(&flow);
+        let is_opening = packet.segment.is_none_or(|segment| segment.is_opening());
+        if forward.cached && !is_opening && self.own_miss(&flow, now) == Miss::Unsure {
+            // A former process owned the flow, or accepted it.
+            return self.query_upstream(flow, &forward.packet, home.unwrap_or(self.own_id));
+        }
         let is_fallback_home = C::RESOLVES_DUPLICATE_OPENS && forward.stand_in;
         if home == Some(self.own_id) || is_fallback_home {
             self.handle_as_home(flow, &packet, forward, from);
         } else if let (Some(home), Some(hops)) = (home, forward.hops.checked_sub(1)) {
-            self.send_owner_hint(&forward, &flow, 0);
+            self.send_owner_hint(&forward, &flow, 0, false);
             self.send(home, Body::Forward(Forward { hops, ..forward }));
         } else {
             self.disclaim(flow, &forward.packet, from);
@@ -496,12 +508,16 @@
 
     /// Notifies the entry that received the packet of the owner of its flow; 0 if the entry must
     /// not cache an owner.
-    pub(super) fn send_owner_hint(&mut self, forward: &Forward, flow: &Flow, vm: vm::Id) {
+    pub(super) fn send_owner_hint(
+        &mut self,
+        forward: &Forward,
+        flow: &Flow,
+        vm: vm::Id,
+        confirmed: bool,
+    ) {
         if let Some(entry) = decode_address(forward.entry_address, forward.entry_port) {
-            self.send_to(
-                entry,
-                Body::Owner(Owner { flow: Some((*flow).into()), vm, waiting: false }),
-            );
+            let flow = Some((*flow).into());
+            self.send_to(entry, Body::Owner(Owner { flow, vm, confirmed, ..Owner::default() }));
         }
     }
 
@@ -564,6 +580,7 @@
             self.handle_early_packets();
             self.process_held_packets();
             self.retry_offers();
+            self.continue_searches(clock::now());
         }
     }
 
@@ -577,6 +594,7 @@
             self.sweep_flows(now);
         }
         self.sweep_records(now);
+        self.returned_flows.retain(|_, at| now.duration_since(*at) < MAX_FLOW_AGE);
         self.metrics.set_gauge("connections", self.table.connections().into());
         self.metrics.set_gauge("slots", self.table.slots().into());
         self.metrics.set_gauge("limit", self.limit.current().into());
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -372,7 +372,7 @@
 }
 
 fn search_miss(flow: Flow, packet: Bytes) -> Body {
-    Body::Unknown(Unknown { flow: Some(flow.into()), searched: true, packet })
+    Body::Unknown(Unknown { flow: Some(flow.into()), searched: true, packet, unsure: false })
 }
 
 #[tokio::test]
@@ -443,8 +443,17 @@
     harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
     let port = harness.port_at_home(Harness::id(0));
     let (request, flow) = (harness.request(port, UPSTREAM_ISN), harness.flow(port));
-    let search = Forward { packet: request.clone(), search: true, ..Forward::default() };
-    harness.send_from_peer(0, Body::Forward(search)).await;
+    let search = Forward { packet: request.clone(), search: true, hops: 1, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(search.clone())).await;
+    let unsure = |body| match body {
+        Body::Unknown(unknown) if unknown.unsure && !unknown.searched => Some(unknown.flow),
+        _ => None,
+    };
+    assert_eq!(harness.receive_at_peer(0, unsure).await, Some(flow.into()));
+    // Only the second step of a search may reach upstreams that do not hold the flow.
+    assert!(Harness::is_silent(&harness.upstream).await);
+    let search = Forward { ask_upstream: true, ..search };
+    harness.send_from_peer(0, Body::Forward(search.clone())).await;
     assert_eq!(Harness::receive(&harness.upstream).await, request);
     let miss = |body| match body {
         Body::Unknown(unknown) if unknown.searched => Some(unknown.flow),
@@ -456,6 +465,35 @@
     returned[12] |= RETURNED;
     harness.send_from_upstream(&returned).await;
     assert_eq!(harness.receive_at_peer(0, miss).await, Some(flow.into()));
+    // The upstream is not asked again.
+    harness.send_from_peer(0, Body::Forward(search)).await;
+    assert_eq!(harness.receive_at_peer(0, miss).await, Some(flow.into()));
+    assert!(Harness::is_silent(&harness.upstream).await);
+}
+
+#[tokio::test]
+async fn search_in_two_steps() {
+    // Searches sent the packets of open flows to every upstream that might hold them.
+    let mut harness = Harness::open().await;
+    let port = harness.port_at_home(harness.worker.own_id);
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    harness.send_from_peer(0, forward(request.clone())).await;
+    let unsure = Unknown {
+        flow: Some(flow.into()),
+        packet: request.clone(),
+        unsure: true,
+        ..Unknown::default()
+    };
+    for peer in [0, 1] {
+        assert!(!harness.receive_at_peer(peer, search_request).await.ask_upstream);
+    }
+    harness.send_from_peer(0, Body::Unknown(unsure)).await;
+    harness.send_from_peer(1, search_miss(flow, request.clone())).await;
+    assert!(harness.receive_at_peer(0, search_request).await.ask_upstream);
+    let asked = harness.receive_at_peer(1, search_request);
+    assert!(timeout(SILENCE_WAIT, asked).await.is_err(), "this one was sure");
+    harness.send_from_peer(0, search_miss(flow, request)).await;
+    assert_eq!(Harness::receive(&harness.caller).await[12], RST);
 }
 
 #[tokio::test]
@@ -562,7 +600,8 @@
     let mut harness = Harness::open().await;
     let port = harness.port_at_home(Harness::id(0));
     harness.open_flow(port, 1).await;
-    let owner = Owner { flow: Some(harness.flow(port).into()), vm: Harness::id(1), waiting: false };
+    let owner =
+        Owner { flow: Some(harness.flow(port).into()), vm: Harness::id(1), ..Owner::default() };
     harness.send_from_peer(0, Body::Owner(owner)).await;
     assert_eq!(harness.worker.table.slots(), 0);
     let request = harness.request(port, UPSTREAM_ISN);
@@ -582,7 +621,8 @@
     let mut harness = Harness::open().await;
     let port = harness.port_at_home(Harness::id(0));
     harness.open_flow(port, 1).await;
-    let owner = Owner { flow: Some(harness.flow(port).into()), vm: Harness::id(1), waiting: false };
+    let owner =
+        Owner { flow: Some(harness.flow(port).into()), vm: Harness::id(1), ..Owner::default() };
     harness.send_from_peer(0, Body::Owner(owner)).await;
     let request = harness.request(port, OTHER_UPSTREAM_ISN);
     harness.send_from_peer(1, forward(request.clone())).await;
@@ -666,7 +706,7 @@
         harness.open_flow(port, home).await;
     }
     let (unused, used) = (harness.flow(1001), harness.flow(1002));
-    let other = Owner { flow: Some(unused.into()), vm: Harness::id(1), waiting: false };
+    let other = Owner { flow: Some(unused.into()), vm: Harness::id(1), ..Owner::default() };
     harness.send_from_peer(0, Body::Owner(other)).await;
     let request = harness.request(1002, UPSTREAM_ISN);
     harness.send_from_peer(0, forward(request)).await;
@@ -1033,3 +1073,24 @@
     );
     assert!(!is_waiting, "waits for an agent that may never have had the flow");
 }
+
+#[tokio::test]
+async fn forward_to_cached_owner() {
+    // The records of a flow were lost while its owner and its home restarted. The entry still had the
+    // owner in its cache, which was told to forget it, and a search sent the packet to all upstreams.
+    let mut harness = Harness::open().await;
+    harness.worker.upstream = Upstream::new(harness.worker.settings.heartbeat);
+    let port = harness.port_at_home(Harness::id(0));
+    let request = harness.request(port, OTHER_UPSTREAM_ISN);
+    let cached = Forward { packet: request.clone(), hops: 2, cached: true, ..Forward::default() };
+    harness.send_from_peer(0, Body::Forward(cached.clone())).await;
+    assert_eq!(Harness::receive(&harness.upstream).await, request);
+    let passed_on = harness.receive_at_peer(0, forwarded_packet);
+    assert!(timeout(SILENCE_WAIT, passed_on).await.is_err(), "its upstream may answer");
+    let mut returned = request.to_vec();
+    returned[12] |= RETURNED;
+    harness.send_from_upstream(&returned).await;
+    harness.send_from_peer(0, Body::Forward(cached)).await;
+    assert_eq!(harness.receive_at_peer(0, forwarded_packet).await, request);
+    assert!(Harness::is_silent(&harness.upstream).await, "asked again");
+}
--- a/crates/hyssopdyked/src/entry/worker.rs
+++ b/crates/hyssopdyked/src/entry/worker.rs
@@ -99,6 +99,26 @@
     last_packet_at: Option<Instant>,
 }
 
+/// Why a member gets a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Choice {
+    /// The cache has it as the owner that the flow's caller has confirmed.
+    Confirmed,
+    /// The cache has it as a member that has accepted the flow.
+    Accepted,
+    /// It is the flow's home.
+    Home,
+    /// It stands in for the flow's home.
+    StandIn,
+}
+
+/// Member that gets a packet.
+#[derive(Debug, Clone, Copy)]
+struct Target<'a> {
+    member: &'a Member,
+    choice: Choice,
+}
+
 impl<B: PacketCodec> Worker<B> {
     pub(super) fn new(
         codec: B,
@@ -303,13 +323,15 @@
             return self.metrics.count("dropped.unknown_service");
         };
         let is_opening = packet.segment.is_none_or(|segment| segment.is_opening());
-        let Some((target, is_fallback)) = self.select_target(route, &inbound, is_opening) else {
+        let Some(Target { member: target, choice }) =
+            self.select_target(route, &inbound, is_opening)
+        else {
             unusual!(self.events, "packet has no member to go to"; "flow" => %flow,
                 "out" => route.pool.out_members.len());
             return self.metrics.count("dropped.no_member");
         };
         if is_opening {
-            self.log_first_packet(&inbound, target, is_fallback);
+            self.log_first_packet(&inbound, target, choice == Choice::StandIn);
         } else {
             self.record_retransmission(&inbound, target);
         }
@@ -319,9 +341,10 @@
             hops: MAX_FORWARD_HOPS,
             entry_address,
             entry_port,
-            stand_in: is_fallback,
-            search: false,
+            stand_in: choice == Choice::StandIn,
+            cached: choice == Choice::Confirmed,
             held_ms: inbound.held.as_millis() as u32,
+            ..Forward::default()
         };
         let message = self.membership.message(Body::Forward(forward));
         self.metrics.count("forwarded");
@@ -353,26 +376,32 @@
         }
     }
 
-    /// Returns the target of a packet, and whether it stands in for the flow's home.
+    /// Returns the target of a packet.
     fn select_target<'a>(
         &mut self,
         route: &'a Route,
         inbound: &Inbound,
         is_opening: bool,
-    ) -> Option<(&'a Member, bool)> {
+    ) -> Option<Target<'a>> {
         let pool: &Pool = &route.pool;
         let (hash, copies) = (inbound.hash, inbound.packet.earlier_copies);
         let now = clock::now();
         let is_usable =
             copies == 0 || self.openings.is_handled(hash, self.copy_interval(copies), now);
-        if let Some(owner) = self.cache.owner(hash).filter(|_| is_usable)
-            && let Some(owner) = pool.find(owner)
+        if is_opening {
+            self.cache.reopen(hash);
+        }
+        if let Some((owner, is_confirmed)) = self.cache.owner(hash).filter(|_| is_usable)
+            && let Some(member) = pool.find(owner)
         {
-            return Some((owner, false));
+            let choice = if is_confirmed { Choice::Confirmed } else { Choice::Accepted };
+            return Some(Target { member, choice });
         }
         let home = pool.top_two(hash).0?;
         let chosen = if is_opening { self.select_home(pool, hash, copies) } else { Some(home) };
-        chosen.and_then(|vm| pool.member(vm)).map(|member| (member, member.vm != home))
+        let member = chosen.and_then(|vm| pool.member(vm))?;
+        let choice = if member.vm == home { Choice::Home } else { Choice::StandIn };
+        Some(Target { member, choice })
     }
 
     /// Returns the member that places a new flow: its home, or the next in rank that is not
@@ -426,7 +455,7 @@
         }
         self.membership.pull_if_newer(&mut self.link, from, revision);
         match datagram.body {
-            Some(Body::Owner(owner)) => self.update_cache(&owner),
+            Some(Body::Owner(owner)) => self.update_cache(&owner, from),
             Some(Body::Pull(pull)) => self.membership.answer_pull(&mut self.link, from, pull),
             Some(Body::Page(page)) => {
                 self.membership.receive_page(&mut self.link, from, page);
@@ -441,16 +470,30 @@
         }
     }
 
-    fn update_cache(&mut self, owner: &Owner) {
+    fn update_cache(&mut self, owner: &Owner, from: SocketAddr) {
         let Ok(flow) = Flow::try_from(owner.flow.as_ref()) else {
             return self.metrics.count("unexpected");
         };
         let hash = flow.hash(self.flow_hash_keys);
         if owner.vm == 0 {
-            return self.cache.remove(hash);
+            return self.drop_from_cache(hash, from);
         }
         self.openings.record(hash, owner.waiting, clock::now());
-        self.cache.insert(hash, owner.vm);
+        if owner.confirmed {
+            self.cache.confirm(hash, owner.vm);
+        } else {
+            self.cache.insert(hash, owner.vm);
+        }
+    }
+
+    /// Drops a flow from the cache, since a member that got its packet does not own it. Another member
+    /// may have been confirmed since.
+    fn drop_from_cache(&mut self, hash: u64, from: SocketAddr) {
+        let Some((owner, is_confirmed)) = self.cache.owner(hash) else { return };
+        let is_sender = || self.membership.view().agent_address(owner) == Some(from);
+        if !is_confirmed || is_sender() {
+            self.cache.remove(hash);
+        }
     }
 
     /// Pings suspected members to find out whether they answer again.
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -106,7 +106,7 @@
         ("forward of a 60-byte packet", Message::Forward(forward)),
         ("offer of a 60-byte packet", Message::Offer(Offer { packet, ..Offer::default() })),
         ("accepted", Message::Accepted(Accepted { flow: flow.clone(), confirmed: false })),
-        ("owner", Message::Owner(Owner { flow, vm: u64::MAX, waiting: false })),
+        ("owner", Message::Owner(Owner { flow, vm: u64::MAX, waiting: false, confirmed: true })),
         ("report of one flow", Message::Report(report)),
         ("reported", Message::Reported(Reported { sequence: 99_999 })),
         ("ping with load", Message::Ping(Ping { nonce: u64::MAX, load })),
