--- a/crates/hyssopctl/src/timeline/tests.rs
+++ b/crates/hyssopctl/src/timeline/tests.rs
@@ -29,6 +29,25 @@
     );
 }
 
+#[test]
+fn sort_clock_step() {
+    // The clock of a VM stepped back while its agent ran, and cause came after effect in the time line.
+    let at = |mono_us, wall_us, name| Event { mono_us, ..event("agent", "a", wall_us, 7, name) };
+    let mut events = vec![
+        at(100, 1000, "first"),
+        at(200, 1100, "second"),
+        at(300, 400, "after the step"),
+        event("entry", "e", 1150, 7, "between"),
+        at(400, u64::MAX, "after another"),
+        // The next process of the same identity.
+        at(50, 2000, "restarted"),
+    ];
+    order::sort(&mut events);
+    let names: Vec<_> = events.iter().map(|event| &*event.event).collect();
+    let expected = ["first", "second", "between", "after the step", "after another", "restarted"];
+    assert_eq!(names, expected);
+}
+
 #[test]
 fn matches_each_filter() {
     let admitted = event("agent", "a", 3000, 7, "flow admitted");
--- a/crates/hyssopctl/src/timeline/why.rs
+++ b/crates/hyssopctl/src/timeline/why.rs
@@ -74,7 +74,7 @@
         let own: Vec<&Event> = events.iter().filter(|event| is_of_flow(event, flow)).collect();
         let vms: BTreeSet<&str> = own.iter().flat_map(|event| vms(event)).collect();
         let from = own.first().map_or(0, |event| event.wall_us.saturating_sub(MARGIN_US));
-        let until = own.last().map_or(0, |event| event.wall_us + MARGIN_US);
+        let until = own.last().map_or(0, |event| event.wall_us.saturating_add(MARGIN_US));
         let is_context = |event: &Event| {
             (from..=until).contains(&event.wall_us)
                 && vms.contains(&*event.vm)
