test: properties of the remaining decoders at the border

Packets of the product's own form, flows in messages, and names and services that operators write: any input gives a value within its ranges or a typed error.

--- a/crates/hyssopdyke/tests/connection.rs
+++ b/crates/hyssopdyke/tests/connection.rs
@@ -10,6 +10,9 @@
     Searches, Step, Table,
 };
 use hyssopdyke::request::{Packet, ParseError, Reset, Segment};
+use hyssopdyke_wire::datagram;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const CLASSES: [connection::Class; 3] =
     [connection::Class::Stream, connection::Class::Request, connection::Class::Exchange];
@@ -495,3 +498,54 @@
     openings.expire(start + 20 * interval);
     assert!(!openings.is_handled(1, interval, start + 20 * interval));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: RngSeed::Fixed(29),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Any bytes after any header of an IP packet are malformed, or a packet whose reset, if it has one,
+    /// is not answered.
+    #[test]
+    fn parse_any_packet(
+        version in any::<u8>(),
+        protocol in prop_oneof![Just(6), Just(17), any::<u8>()],
+        mut bytes in prop::collection::vec(any::<u8>(), 0..120),
+    ) {
+        if bytes.len() > 9 {
+            bytes[0] = if version < 200 { 0x45 } else { version };
+            bytes[9] = protocol;
+        }
+        if let Ok(packet) = Packet::parse(&bytes)
+            && let Some(reset) = Reset::reply_to(&packet)
+        {
+            let reset = Packet::parse(&reset.encode()).unwrap();
+            prop_assert_eq!(reset.destination, packet.source);
+            prop_assert!(Reset::reply_to(&reset).is_none());
+        }
+    }
+
+    /// A flow in a message is one, or an error that says what was found.
+    #[test]
+    fn flow_any_message(
+        protocol in prop_oneof![0..4_u32, any::<u32>()],
+        caller in prop::collection::vec(any::<u8>(), 0..18),
+        service in prop_oneof![prop::collection::vec(any::<u8>(), 4), prop::collection::vec(any::<u8>(), 16)],
+        ports in (any::<u32>(), 65_530..65_540_u32),
+    ) {
+        let message = datagram::Flow {
+            protocol,
+            caller: caller.into(),
+            caller_port: ports.0,
+            service: service.into(),
+            service_port: ports.1,
+        };
+        match Flow::try_from(&message) {
+            Ok(flow) => prop_assert_eq!(datagram::Flow::from(flow), message),
+            Err(error) => prop_assert!(error.to_string().contains("expected"), "{error}"),
+        }
+    }
+}
--- a/crates/hyssopdyked/src/control/validate.rs
+++ b/crates/hyssopdyked/src/control/validate.rs
@@ -101,3 +101,7 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "validate_tests.rs"]
+mod tests;
