fix(version): flows stay at a former service that is no longer declared

Cause: a route links its former services only while these are declared. The declaration deleted the service in the revision in which it became a former one, so that its agents were members of no group and dropped their own flows, and homes found no record and reset the callers.

Evidence: `declare_drops_former_service` needs no process and fails before ("upstreams of a are no members any more").

Change: a former service that is no longer declared is retired: it stays in its group, and no route has it among its shares. Routes record since when a service is a former one; the leader lets them forget it after 75 s (the longest age of a flow, and 15 s for daemons that hear late). 256 retired services at most, those without upstreams go first. On related paths: a service that an operator deletes is retired if a route had it, and refused while a route sends it new flows; a route that takes over a listener keeps the listener's service.

Why it works: members, homes and records of a group come from the same list of services on all daemons, and new flows from a route's shares alone, which agents check again before they admit.

Ruled out: late records and the move itself (the same manifest with both services declared resets nothing).

--- a/crates/hyssopdyke/src/version/group.rs
+++ b/crates/hyssopdyke/src/version/group.rs
@@ -21,21 +21,21 @@
     /// Derives the groups of the services and routes in a store.
     #[must_use]
     pub fn new(store: &Store) -> Self {
-        let mut groups = Self::default();
-        for service in store.list(Kind::Service) {
-            let name: Box<str> = service.name.as_str().into();
-            groups.first.insert(name.clone(), name);
-        }
+        let names: Vec<&str> =
+            store.list(Kind::Service).map(|service| service.name.as_str()).collect();
+        let mut sets = Sets::new(names.len());
+        let index = |service: &String| names.binary_search(&service.as_str()).ok();
         for route in store.list(Kind::Route) {
             let Some(Body::Route(route)) = &route.body else { continue };
             let splits = route.splits.iter().map(|split| &split.service);
-            let mut services = splits.chain(&route.former);
+            let mut services = splits.chain(&route.former).filter_map(index);
             let Some(first) = services.next() else { continue };
             for service in services {
-                groups.link(first, service);
+                sets.merge(first, service);
             }
         }
-        groups
+        let first = |index: usize| (names[index].into(), names[sets.first(index)].into());
+        Self { first: (0..names.len()).map(first).collect() }
     }
 
     /// Returns the name of a service's group: the name of the group's first service.
@@ -68,15 +68,31 @@
         });
         changed.cloned().collect()
     }
+}
+
+/// Disjoint sets of indexes.
+struct Sets {
+    /// For each index, a lower one of its set; itself for the first of a set.
+    lower: Vec<usize>,
+}
+
+impl Sets {
+    /// Creates a set for each index.
+    fn new(count: usize) -> Self {
+        Self { lower: (0..count).collect() }
+    }
 
-    /// Merges the groups of two services.
-    fn link(&mut self, a: &str, b: &str) {
-        let (Some(a), Some(b)) = (self.first.get(a).cloned(), self.first.get(b).cloned()) else {
-            return;
-        };
-        let (kept, merged) = if a < b { (a, b) } else { (b, a) };
-        for first in self.first.values_mut().filter(|first| **first == merged) {
-            first.clone_from(&kept);
+    /// Returns the first index of a set.
+    fn first(&self, mut index: usize) -> usize {
+        while self.lower[index] < index {
+            index = self.lower[index];
         }
+        index
+    }
+
+    /// Merges the sets of two indexes.
+    fn merge(&mut self, a: usize, b: usize) {
+        let (a, b) = (self.first(a), self.first(b));
+        self.lower[a.max(b)] = a.min(b);
     }
 }
--- a/crates/hyssopdyke/src/version/mod.rs
+++ b/crates/hyssopdyke/src/version/mod.rs
@@ -4,6 +4,7 @@
 //! a [`Replica`] updates a daemon's copy page by page, and a [`View`] contains the routes that a
 //! daemon derives from its copy.
 
+mod former;
 mod group;
 mod home;
 mod homes;
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hyssopdyke::process::{
-    Barrier, EventLimiter, HoldQueue, Lease, Limit, Outbox, Queued, Reachability, Shaper, Suspects,
-    WarmupLimiter,
+    Barrier, EventLimiter, HoldQueue, Horizon, Lease, Limit, Outbox, Queued, Reachability, Shaper,
+    Suspects, WarmupLimiter,
 };
 use hyssopdyke::request::{Candidate, Scheduler, Segment};
 use rand::SeedableRng;
@@ -439,3 +439,21 @@
     assert_eq!(queue.take(start + 165 * MILLI), [(3, 95 * MILLI)], "the second has expired");
     assert!(queue.is_empty());
 }
+
+#[test]
+fn horizon_passes_old_revisions() {
+    let start = Instant::now();
+    let mut horizon = Horizon::new(10 * SECOND);
+    assert_eq!(horizon.passed(start), None, "nothing was observed");
+    for (second, revision) in [(0, 4), (1, 4), (6, 9), (7, 7), (30, 12)] {
+        horizon.observe(revision, start + second * SECOND);
+        let expected = match second {
+            0..10 => None,
+            _ => Some(9),
+        };
+        assert_eq!(horizon.passed(start + second * SECOND), expected, "at {second} s");
+    }
+    assert_eq!(horizon.passed(start + 39 * SECOND), Some(9));
+    horizon.observe(12, start + 40 * SECOND);
+    assert_eq!(horizon.passed(start + 40 * SECOND), Some(12));
+}
--- a/crates/hyssopdyke/tests/version.rs
+++ b/crates/hyssopdyke/tests/version.rs
@@ -6,7 +6,7 @@
 
 use hyssopdyke::version::{Groups, Outcome, Ranking, Registry, Replica, Store, View};
 use hyssopdyke::vm;
-use hyssopdyke_wire::ledger::{Command, Declare, Register, Unregister, Write, command};
+use hyssopdyke_wire::ledger::{Command, Declare, Forget, Register, Unregister, Write, command};
 use hyssopdyke_wire::resource::{
     Class, Domain, Kind, Listener, Protocol, Resource, Route, Service, Split, State, Upstream,
     resource::Body,
@@ -245,6 +245,11 @@
 
 /// Creates a declaration of two services, and of one route to the services named in `to`.
 fn declare(version: u64, to: &[&str]) -> Command {
+    declare_only(version, to, &["a", "b"])
+}
+
+/// Declares one route to the services `to`, and `services` alone.
+fn declare_only(version: u64, to: &[&str], services: &[&str]) -> Command {
     let service = |name: &str| Resource {
         name: name.into(),
         body: Some(Body::Service(Service { connections: 9, ..Service::default() })),
@@ -260,7 +265,8 @@
     let route = Route { listener: Some(listener), splits, ..Route::default() };
     let body = Some(Body::Route(route));
     let route = Resource { name: "198.18.0.1:443".into(), body, ..Resource::default() };
-    let resources = vec![service("a"), service("b"), route];
+    let mut resources: Vec<Resource> = services.iter().map(|name| service(name)).collect();
+    resources.push(route);
     let declare =
         Declare { version, resources, document: version.to_string().into(), ..Declare::default() };
     Command { body: Some(command::Body::Declare(declare)) }
@@ -305,3 +311,180 @@
     let view = View::new(registry.store());
     assert_eq!(view.pool("a").unwrap().epoch, epoch);
 }
+
+fn forget(upto: u64) -> Command {
+    Command { body: Some(command::Body::Forget(Forget { upto })) }
+}
+
+fn delete_service(name: &str) -> Command {
+    let body = Some(Body::Deleted(Kind::Service as i32));
+    write(name, None, Resource { name: name.into(), body, ..Resource::default() })
+}
+
+fn services(registry: &Registry) -> Vec<String> {
+    registry.store().list(Kind::Service).map(|service| service.name.clone()).collect()
+}
+
+/// Returns whether the upstreams of a service are members of the group that serves the route.
+fn serves_route(registry: &Registry, service: &str) -> bool {
+    let view = View::new(registry.store());
+    let tcp = hyssopdyke::connection::Protocol::Tcp;
+    let route = view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap();
+    route.pool.services.contains_key(service) && view.pool(service) == Some(&route.pool)
+}
+
+/// A declaration that moved a route and dropped its former service had the open flows there reset.
+#[test]
+fn declare_drops_former_service() {
+    for declared_between in [false, true] {
+        let mut registry = Registry::new();
+        registry.apply(declare(1, &["a"]));
+        if declared_between {
+            registry.apply(declare(2, &["b"]));
+        }
+        registry.apply(declare_only(3, &["b"], &["b"]));
+        let view = View::new(registry.store());
+        let tcp = hyssopdyke::connection::Protocol::Tcp;
+        let route = view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap();
+        assert!(route.allows("b") && !route.allows("a"));
+        assert!(route.pool.services.contains_key("a"), "upstreams of a are no members any more");
+    }
+}
+
+/// Flows of services that a route had several changes ago, and never again, were reset.
+#[test]
+fn declare_back_and_forth() {
+    let mut registry = Registry::new();
+    for (version, to) in (1..).zip(["a", "b", "a", "c", "b", "d"]) {
+        registry.apply(declare_only(version, &[to], &[to]));
+        let restored = Registry::restore(registry.snapshot(1, 1));
+        assert_eq!(services(&restored), services(&registry));
+    }
+    assert_eq!(services(&registry), ["a", "b", "c", "d"]);
+    for service in ["a", "b", "c", "d"] {
+        assert!(serves_route(&registry, service), "{service}");
+    }
+    // A service that is declared again is not retired.
+    registry.apply(declare_only(7, &["c"], &["c", "d"]));
+    let retired = registry.store().list(Kind::Service).filter(
+        |service| matches!(&service.body, Some(Body::Service(service)) if service.retired != 0),
+    );
+    assert_eq!(retired.map(|service| service.name.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+}
+
+/// What routes keep of former services had no end.
+#[test]
+fn forget_former_services() {
+    let mut registry = Registry::new();
+    registry.apply(declare_only(1, &["a"], &["a"]));
+    registry.apply(declare_only(2, &["b"], &["b"]));
+    let second = registry.store().revision();
+    registry.apply(declare_only(3, &["c"], &["c"]));
+    assert!(!registry.has_former_services(second - 1));
+    assert!(registry.has_former_services(second));
+    registry.apply(forget(second));
+    assert_eq!(services(&registry), ["b", "c"]);
+    assert!(!registry.has_former_services(second));
+    // The same command again changes nothing.
+    let revision = registry.store().revision();
+    registry.apply(forget(second));
+    assert_eq!(registry.store().revision(), revision);
+    registry.apply(forget(revision));
+    assert_eq!(services(&registry), ["c"]);
+    assert_eq!(Groups::new(registry.store()).members().len(), 1);
+}
+
+/// A route that has a service again starts its time anew when it leaves it.
+#[test]
+fn forget_service_again_former() {
+    let mut registry = Registry::new();
+    registry.apply(declare_only(1, &["a"], &["a"]));
+    registry.apply(declare_only(2, &["b"], &["b"]));
+    let second = registry.store().revision();
+    registry.apply(declare_only(3, &["a"], &["a"]));
+    registry.apply(declare_only(4, &["b"], &["b"]));
+    registry.apply(forget(second));
+    assert!(serves_route(&registry, "a"));
+}
+
+/// A link between declared services stayed for good.
+#[test]
+fn forget_declared_service() {
+    let mut registry = Registry::new();
+    registry.apply(declare(1, &["a"]));
+    registry.apply(declare(2, &["b"]));
+    let epoch = View::new(registry.store()).pool("b").unwrap().epoch;
+    registry.apply(forget(registry.store().revision()));
+    assert_eq!(services(&registry), ["a", "b"]);
+    let view = View::new(registry.store());
+    assert_ne!(view.pool("a"), view.pool("b"));
+    assert!(view.pool("b").unwrap().epoch > epoch, "homes changed without a new epoch");
+}
+
+/// A declaration that drops the route ends what was kept of its former services.
+#[test]
+fn declare_drops_route_of_former_service() {
+    let mut registry = Registry::new();
+    registry.apply(declare_only(1, &["a"], &["a"]));
+    registry.apply(declare_only(2, &["b"], &["b"]));
+    let Some(command::Body::Declare(last)) = declare_only(3, &["b"], &["b"]).body else { return };
+    let resources = last.resources.into_iter().filter(|resource| resource.name == "b").collect();
+    let body = command::Body::Declare(Declare { resources, ..last });
+    registry.apply(Command { body: Some(body) });
+    assert_eq!(services(&registry), ["b"]);
+}
+
+/// More former services than there may be are evicted, oldest first, unless they have upstreams.
+#[test]
+fn declare_many_former_services() {
+    let mut registry = Registry::new();
+    let names: Vec<String> = (0..300).map(|index| format!("s{index:04}")).collect();
+    registry.apply(declare_only(1, &["s0000"], &["s0000"]));
+    registry.apply(register_service("agent-1", "s0000"));
+    for (version, name) in (2..).zip(&names) {
+        registry.apply(declare_only(version, &[name], &[name]));
+    }
+    let kept = services(&registry);
+    assert_eq!(kept.len(), 257);
+    assert_eq!(kept[..2], ["s0000", "s0044"]);
+}
+
+fn register_service(name: &str, service: &str) -> Command {
+    let mut command = register(name, 1, 5562);
+    if let Some(command::Body::Register(Register { resource: Some(resource) })) = &mut command.body
+        && let Some(Body::Upstream(upstream)) = &mut resource.body
+    {
+        upstream.service = service.into();
+    }
+    command
+}
+
+/// An operator deleted the former service of a route, and the flows there were reset.
+#[test]
+fn write_deletes_former_service() {
+    let mut registry = Registry::new();
+    registry.apply(declare(1, &["a"]));
+    registry.apply(declare(2, &["b"]));
+    registry.apply(delete_service("a"));
+    assert!(serves_route(&registry, "a"));
+    registry.apply(delete_service("b"));
+    assert!(serves_route(&registry, "b"), "a route sends its new flows there");
+    registry.apply(declare_only(3, &["b"], &["b"]));
+    registry.apply(forget(registry.store().revision()));
+    assert_eq!(services(&registry), ["b"]);
+}
+
+/// A route took the place of a service's listener, and the flows of the service were reset.
+#[test]
+fn declare_route_of_listener() {
+    let mut registry = Registry::new();
+    let listener = Listener { port: 443, ..listener("198.18.0.1") };
+    let body = Service { listeners: vec![listener], connections: 9, ..Service::default() };
+    let body = Some(Body::Service(body));
+    registry.apply(write("k", None, Resource { name: "a".into(), body, ..Resource::default() }));
+    registry.apply(declare_only(1, &["b"], &["b"]));
+    assert!(serves_route(&registry, "a"));
+    let view = View::new(registry.store());
+    let tcp = hyssopdyke::connection::Protocol::Tcp;
+    assert!(!view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap().allows("a"));
+}
--- a/crates/hyssopdyked/src/agent/mod.rs
+++ b/crates/hyssopdyked/src/agent/mod.rs
@@ -39,6 +39,9 @@
 /// upstream's flows are kept.
 pub(crate) const RETURN_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Age after which a flow counts as ended even if neither end has closed it.
+pub(crate) const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
+
 /// Maximum number of upstream reports that wait to be handled.
 const MAX_QUEUED_REPORTS: usize = 16;
 
--- a/crates/hyssopdyked/src/agent/upstream.rs
+++ b/crates/hyssopdyked/src/agent/upstream.rs
@@ -11,6 +11,7 @@
 use hyssopdyke_platform::reports::Delivery;
 use slog::{info, warn};
 
+use super::MAX_FLOW_AGE;
 use super::worker::Worker;
 use crate::clock;
 use crate::log::unusual;
@@ -23,9 +24,6 @@
 /// Heartbeats after the start of a process without a report after which there is no upstream.
 const MISSED_HEARTBEATS: u32 = 2;
 
-/// Age after which a flow counts as ended even if neither end has closed it.
-pub(super) const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
-
 /// Time within which an upstream on the same VM must answer a first packet. Shorter than the time
 /// after which callers retransmit the packet, so that the retransmission goes to another upstream.
 pub(super) const UPSTREAM_ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
--- a/crates/hyssopdyked/src/agent/worker.rs
+++ b/crates/hyssopdyked/src/agent/worker.rs
@@ -24,8 +24,8 @@
 use tokio::task::consume_budget;
 use tokio::time::{Interval, interval};
 
+use super::MAX_FLOW_AGE;
 use super::peers::Peers;
-use super::upstream::MAX_FLOW_AGE;
 use crate::clock;
 use crate::log::Events;
 use crate::metrics::Metrics;
--- a/crates/hyssopdyked/src/control/api.rs
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -143,6 +143,9 @@
     if matches!(kind, Kind::Entry | Kind::Route | Kind::Declaration) {
         return Err(validate::Error::ReadOnly(kind_name(kind)).into());
     }
+    if kind == Kind::Service {
+        validate::check_unused(api.handle.registry().await.store(), &name)?;
+    }
     let body = Some(resource::Body::Deleted(kind as i32));
     let resource = Resource { name: name.into(), body, ..Resource::default() };
     propose_write(&api, &headers, resource).await
--- a/crates/hyssopdyked/src/control/mod.rs
+++ b/crates/hyssopdyked/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod problem;
 mod replica;
+mod retention;
 mod sessions;
 mod validate;
 
@@ -110,7 +111,8 @@
         result = sessions::serve(sessions, key, handle.clone(), Arc::clone(&leases), events.clone())
             => result?,
         result = axum::serve(api, router) => result?,
-        () = leases::expire(handle, leases, events.clone()) => {}
+        () = leases::expire(handle.clone(), leases, events.clone()) => {}
+        () = retention::expire(handle, events.clone()) => {}
         () = stopped => {}
     }
     info!(events.logger(), "control stopped");
--- a/crates/hyssopdyked/src/control/validate.rs
+++ b/crates/hyssopdyked/src/control/validate.rs
@@ -3,7 +3,9 @@
 use std::net::IpAddr;
 
 use hyssopdyke::version::Store;
-use hyssopdyke_wire::resource::{Class, Kind, Listener, Protocol, Service, resource::Body};
+use hyssopdyke_wire::resource::{
+    Class, Kind, Listener, Protocol, Resource, Service, resource::Body,
+};
 
 /// Errors in a resource.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +29,8 @@
     MissingClass,
     #[error("listeners: {listener} also belongs to service {service}")]
     ListenerConflict { listener: Box<str>, service: Box<str> },
+    #[error("service {service}: route {route} sends it new flows")]
+    ServiceInUse { service: Box<str>, route: Box<str> },
     #[error("{key}: {value} is not between {min} and {max}")]
     OutOfRange { key: &'static str, value: u32, min: u32, max: u32 },
 }
@@ -65,6 +69,19 @@
     Ok(())
 }
 
+/// Checks that no route sends new flows to a service that is to be deleted.
+pub(super) fn check_unused(store: &Store, name: &str) -> Result<(), Error> {
+    let uses = |resource: &&Resource| match &resource.body {
+        Some(Body::Route(route)) => {
+            route.splits.iter().any(|split| split.service == name && split.weight > 0)
+        }
+        _ => false,
+    };
+    store.list(Kind::Route).find(uses).map_or(Ok(()), |route| {
+        Err(Error::ServiceInUse { service: name.into(), route: route.name.as_str().into() })
+    })
+}
+
 fn check_listener(listener: &Listener) -> Result<(), Error> {
     if listener.address.parse::<IpAddr>().is_err() {
         return Err(Error::InvalidAddress(listener.address.as_str().into()));
--- a/crates/hyssopdyked/src/control/validate_tests.rs
+++ b/crates/hyssopdyked/src/control/validate_tests.rs
@@ -1,6 +1,6 @@
 //! Properties of the checks of what operators write.
 
-use hyssopdyke_wire::resource::{Resource, Service};
+use hyssopdyke_wire::resource::{Route, Split};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -17,6 +17,20 @@
     })
 }
 
+/// An operator deleted a service to which a route sent new flows.
+#[test]
+fn check_unused_routed() {
+    let splits = [("a", 1), ("b", 0)];
+    let split = |(service, weight): (&str, u32)| Split { service: service.into(), weight };
+    let route = Route { splits: splits.map(split).into(), ..Route::default() };
+    let mut store = Store::new();
+    let body = Some(Body::Route(route));
+    store.put(Resource { name: "r".into(), revision: 1, body, ..Resource::default() });
+    let error = Error::ServiceInUse { service: "a".into(), route: "r".into() };
+    assert_eq!(check_unused(&store, "a"), Err(error));
+    assert_eq!(check_unused(&store, "b"), Ok(()));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 3000,
