fix(version): daemons that start below the floor of the tombstones catch up

Cause: a pull did not say that its reader was in a reset, so that it got the first page again and again; pages of control and of peers shared one staging area, so that such a page made control's next one a gap, which control never sent again; a copy from a reset did not take on the floor, and updated older copies without the dropped tombstones; and peers at the same old revision extended each other's leases although control granted newer ones.

Change: readers have a `Cursor` (revision, and the start of a reset), by which sessions, pulls and watches are answered alike; copies stage pages by source and take on the floor; pages of a sender behind the former ones are refused; pulls go on only after progress; a gap in control's pages replaces the session; peers extend no lease of a daemon that could not use its grants, or could not follow its peers, for the length of a lease.

--- a/crates/hyssopdyke/src/process/lease.rs
+++ b/crates/hyssopdyke/src/process/lease.rs
@@ -12,6 +12,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+/// Maximum number of grants that wait for their revision.
+const MAX_PENDING_GRANTS: usize = 8;
+
 /// Maximum number of unanswered pings that are tracked.
 const MAX_OPEN_PINGS: usize = 64;
 
@@ -47,6 +50,10 @@
     /// after a pause, its view may predate the removal of its failure domain.
     pub fn grant(&mut self, sent: Instant, length: Duration, revision: u64) {
         self.length = length;
+        // The first one tells since when this process is behind.
+        if self.pending.len() == MAX_PENDING_GRANTS {
+            self.pending.remove(1);
+        }
         self.pending.push((revision, sent));
     }
 
@@ -85,10 +92,26 @@
         self.granted.is_some_and(|sent| now.saturating_duration_since(sent) < time)
     }
 
+    /// Returns the time for which a grant or the answer of a peer lasts.
+    #[must_use]
+    pub const fn length(&self) -> Duration {
+        self.length
+    }
+
     /// Returns whether the process may act at `now`.
     #[must_use]
     pub fn is_valid(&self, now: Instant) -> bool {
-        self.is_granted(now) || self.is_within_length(self.peer_confirmed, now)
+        self.is_granted(now)
+            || !self.is_overdue() && self.is_within_length(self.peer_confirmed, now)
+    }
+
+    /// Returns whether control has granted renewals for a whole lease at revisions that this
+    /// process has not applied. Its peers may be as far behind.
+    fn is_overdue(&self) -> bool {
+        let ends = self.pending.first().zip(self.pending.last());
+        ends.is_some_and(|((_, first), (_, last))| {
+            last.saturating_duration_since(*first) >= self.length
+        })
     }
 
     fn is_within_length(&self, from: Option<Instant>, now: Instant) -> bool {
--- a/crates/hyssopdyke/src/version/store.rs
+++ b/crates/hyssopdyke/src/version/store.rs
@@ -5,6 +5,8 @@
 use hyssopdyke_wire::resource::{Kind, Page, Resource, resource::Body};
 use prost::Message;
 
+use super::Cursor;
+
 /// Maximum number of tombstones, which are kept to update copies incrementally.
 const MAX_TOMBSTONES: usize = 4096;
 
@@ -41,6 +43,12 @@
         self.floor
     }
 
+    /// Raises the revision below which copies need a full reset to that of the store from which
+    /// this one was copied.
+    pub(super) fn raise_floor(&mut self, floor: u64) {
+        self.floor = self.floor.max(floor);
+    }
+
     /// Returns the revision of the last change.
     #[must_use]
     pub const fn revision(&self) -> u64 {
@@ -87,22 +95,22 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Returns the changes after a revision as a page of complete revisions and about `max_bytes`
-    /// bytes. If `after` is below the floor or above the store's revision, the page starts a reset
-    /// of the copy.
-    #[must_use]
-    pub fn changes_since(&self, after: u64, max_bytes: usize) -> Page {
-        let reset = after < self.floor || after > self.revision;
-        let after = if reset { 0 } else { after };
-        let mut page = self.resources_page(after, max_bytes);
-        page.reset = reset;
-        page
-    }
-
-    /// Returns the next page for a reader that receives all resources.
+    /// Returns the next changes for a reader as a page of complete revisions and about `max_bytes`
+    /// bytes. The page starts a reset of the copy if the store lacks tombstones that the reader
+    /// needs, or if the reader is at a later revision than the store.
     #[must_use]
-    pub fn resources_page(&self, after: u64, max_bytes: usize) -> Page {
-        let mut page = Page { after, upto: self.revision, complete: true, ..Page::default() };
+    pub fn changes_since(&self, cursor: Cursor, max_bytes: usize) -> Page {
+        let reset = !cursor.is_above(self.floor) || cursor.after > self.revision;
+        let after = if reset { 0 } else { cursor.after };
+        let mut page = Page {
+            after,
+            upto: self.revision,
+            complete: true,
+            reset,
+            latest: self.revision,
+            floor: self.floor,
+            ..Page::default()
+        };
         let mut bytes = 0;
         let start = (after + 1, (Kind::Unspecified, Box::from("")));
         for (revision, key) in self.changes.range(start..) {
@@ -130,7 +138,7 @@
             let Some((revision, key)) = self.tombstones.pop_first() else {
                 return;
             };
-            self.floor = revision;
+            self.floor = self.floor.max(revision);
             self.changes.remove(&(revision, key.clone()));
             self.resources.remove(&key);
         }
--- a/crates/hyssopdyke/tests/process.rs
+++ b/crates/hyssopdyke/tests/process.rs
@@ -429,6 +429,29 @@
     assert!(lease.is_valid(start + 2 * SECOND));
 }
 
+/// A daemon that could not apply the revisions of its grants was kept alive by its peers.
+#[test]
+fn lease_overdue() {
+    let start = Instant::now();
+    let mut lease = Lease::new(3 * SECOND);
+    lease.grant(start, 3 * SECOND, 5);
+    lease.record_revision(5);
+    let ping = |lease: &mut Lease, second: u32| {
+        lease.record_ping(second.into(), start + second * SECOND);
+        lease.record_pong(second.into());
+        lease.is_valid(start + second * SECOND)
+    };
+    // Control is gone after one grant that no daemon could use.
+    lease.grant(start + 10 * SECOND, 3 * SECOND, 6);
+    assert!((10..20).all(|second| ping(&mut lease, second)));
+    for second in 20..100 {
+        lease.grant(start + second * SECOND, 3 * SECOND, 6);
+        assert!(!ping(&mut lease, second), "at {second} s");
+    }
+    lease.record_revision(6);
+    assert!(lease.is_valid(start + 101 * SECOND));
+}
+
 #[test]
 fn hold_queue_expired_and_full() {
     let start = Instant::now();
--- a/crates/hyssopdyked/src/control/api.rs
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use hyssopdyke::version::Outcome;
+use hyssopdyke::version::{Cursor, Outcome};
 use hyssopdyke_wire::ledger::{Voter, Write, command};
 use hyssopdyke_wire::resource::{Kind, Listing, Page, Resource, Status, resource};
 use serde::{Deserialize, Serialize};
@@ -177,30 +177,31 @@
     Query(query): Query<WatchQuery>,
 ) -> Result<Response, Problem> {
     api.handle.confirm_leadership().await?;
-    let first = api.handle.registry().await.store().changes_since(query.after, PAGE_BYTES);
+    let start = Cursor::at(query.after);
+    let first = api.handle.registry().await.store().changes_since(start, PAGE_BYTES);
     if first.reset && query.after != 0 {
         return Err(Problem::Gone(query.after));
     }
     let revisions = api.handle.revision.clone();
     let pages = futures_util::stream::unfold(
-        (api, revisions, Some(first), query.after),
+        (api, revisions, Some(first), start),
         async |(api, mut revisions, mut first, mut cursor)| {
             loop {
                 let page = match first.take() {
                     Some(page) => page,
                     None => api.handle.registry().await.store().changes_since(cursor, PAGE_BYTES),
                 };
-                if page.reset && cursor != 0 {
+                if page.reset && cursor.after != 0 {
                     return None;
                 }
-                if page.upto > cursor {
-                    cursor = page.upto;
+                if page.upto > cursor.after {
+                    cursor = cursor.following(&page);
                     return Some((
                         Ok::<_, Infallible>(encode_page(&page)),
                         (api, revisions, None, cursor),
                     ));
                 }
-                revisions.wait_for(|revision| *revision > cursor).await.ok()?;
+                revisions.wait_for(|revision| *revision > cursor.after).await.ok()?;
             }
         },
     );
--- a/crates/hyssopdyked/src/control/sessions.rs
+++ b/crates/hyssopdyked/src/control/sessions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use hyssopdyke::version::Registry;
+use hyssopdyke::version::{Cursor, Registry};
 use hyssopdyke_wire::ledger::{Register, Unregister, command};
 use hyssopdyke_wire::resource::{Kind, Resource, resource};
 use hyssopdyke_wire::session::{Frame, Granted, Hello, Leave, Refused, Renew, frame, hello};
@@ -138,7 +138,7 @@
     let Some(frame::Body::Hello(hello)) = frame.body else {
         return Err(End::InvalidHello);
     };
-    let mut cursor = hello.revision;
+    let mut cursor = Cursor::at(hello.revision);
     let daemon = Daemon::new(hello).ok_or(End::InvalidHello)?;
     // A majority must confirm the leader before it sends anything to a daemon. Otherwise a
     // partitioned leader would send an old state.
@@ -230,22 +230,23 @@
     Ok(())
 }
 
-/// Sends the changes after `cursor`, and returns the last revision that was sent.
-async fn send_changes(stream: &mut Stream, handle: &Handle, cursor: u64) -> Result<u64, End> {
-    let mut page = {
-        let registry = handle.registry().await;
-        if registry.store().revision() == cursor {
-            return Ok(cursor);
-        }
-        registry.store().changes_since(cursor, PAGE_BYTES)
-    };
+/// Sends the changes after `cursor`, and returns the position after them.
+async fn send_changes(
+    stream: &mut Stream,
+    handle: &Handle,
+    mut cursor: Cursor,
+) -> Result<Cursor, End> {
+    if handle.registry().await.store().revision() == cursor.after {
+        return Ok(cursor);
+    }
     loop {
-        let (upto, complete) = (page.upto, page.complete);
+        let page = handle.registry().await.store().changes_since(cursor, PAGE_BYTES);
+        let is_complete = page.complete;
+        cursor = cursor.following(&page);
         send(stream, frame::Body::Page(page)).await?;
-        if complete {
-            return Ok(upto);
+        if is_complete {
+            return Ok(cursor);
         }
-        page = handle.registry().await.store().resources_page(upto, PAGE_BYTES);
     }
 }
 
--- a/crates/hyssopdyked/src/node/membership.rs
+++ b/crates/hyssopdyked/src/node/membership.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hyssopdyke::process::Lease;
-use hyssopdyke::version::{Replica, View};
+use hyssopdyke::version::{Cursor, Gap, Replica, Source, View};
 use hyssopdyke_wire::datagram::{Datagram, Load, Ping, Pong, Pull, datagram::Body};
 use hyssopdyke_wire::resource::Page;
 use slog::{debug, info};
@@ -43,8 +43,12 @@
     /// Whether the daemon was allowed to act until the current view was applied.
     was_active: bool,
     last_pull: Option<Instant>,
+    /// When a peer's page last brought something new.
+    last_progress: Option<Instant>,
     /// When a peer last sent a higher revision than the current one, and that revision.
     newer_revision: Option<(u64, Instant)>,
+    /// Time since which peers have sent higher revisions without an update of this daemon.
+    behind_since: Option<Instant>,
     nonce: u64,
     events: Events,
 }
@@ -60,7 +64,9 @@
             lease: Lease::new(DEFAULT_LEASE),
             was_active: false,
             last_pull: None,
+            last_progress: None,
             newer_revision: None,
+            behind_since: None,
             nonce: rand::random(),
             events,
         }
@@ -100,7 +106,11 @@
                 Update::Granted { sent, length, revision } => {
                     self.lease.grant(sent, length, revision);
                 }
-                Update::Page(page) => is_changed |= self.apply_page(page),
+                Update::Page(page) => match self.apply_page(Source::Control, page) {
+                    Ok(is_new) => is_changed |= is_new,
+                    // Control goes on after the page, so that only a new session brings it again.
+                    Err(_) => session.reconnect(),
+                },
             }
             next = session.try_next_update();
         }
@@ -126,31 +136,43 @@
         let now = clock::now();
         if revision > self.revision() {
             self.newer_revision = Some((revision, now));
+            self.behind_since.get_or_insert(now);
         }
         let is_due =
             self.last_pull.is_none_or(|last| now.duration_since(last) >= MIN_PULL_INTERVAL);
-        if revision <= self.replica.cursor() || !is_due {
+        if revision <= self.replica.cursor(Source::Peers).after || !is_due {
             return;
         }
-        self.last_pull = Some(now);
+        // The peers that had the rest of an update may be gone.
+        let has_progress = |last: Instant| now.duration_since(last) < BEHIND_TIMEOUT;
+        if !self.last_progress.is_some_and(has_progress) {
+            self.replica.restart(Source::Peers);
+        }
         self.pull(link, from);
     }
 
     /// Sends a peer the changes that it pulls.
     pub(crate) fn answer_pull(&self, link: &mut Link, from: SocketAddr, pull: Pull) {
-        let page = self.replica.store().changes_since(pull.after, PAGE_BYTES);
+        let reset_at = Some(pull.reset_at).filter(|revision| *revision != 0);
+        let cursor = Cursor { after: pull.after, reset_at };
+        let page = self.replica.store().changes_since(cursor, PAGE_BYTES);
         link.send(&self.message(Body::Page(page)), from);
     }
 
     /// Applies a page from a peer; returns whether the view has changed.
     pub(crate) fn receive_page(&mut self, link: &mut Link, from: SocketAddr, page: Page) -> bool {
+        let before = self.replica.cursor(Source::Peers);
         let is_last = page.complete;
-        let changed = self.apply_page(page);
+        let changed = self.apply_page(Source::Peers, page).unwrap_or(false);
         if changed {
             self.rebuild_view();
         }
-        if !is_last {
-            self.pull(link, from);
+        // Several peers may have sent the same page.
+        if self.replica.cursor(Source::Peers) != before {
+            self.last_progress = Some(clock::now());
+            if !is_last {
+                self.pull(link, from);
+            }
         }
         changed
     }
@@ -212,7 +234,8 @@
     /// Handles a peer's answer to a ping; `revision` is the peer's.
     pub(crate) fn receive_pong(&mut self, from: SocketAddr, revision: u64, pong: Pong) {
         // A peer with a newer revision may already have this domain as taken out.
-        if self.is_in_other_domain(from) && pong.active && revision <= self.revision() {
+        let is_current = revision <= self.revision() && !self.is_stuck(clock::now());
+        if self.is_in_other_domain(from) && pong.active && is_current {
             self.lease.record_pong(pong.nonce);
         }
     }
@@ -222,21 +245,30 @@
         Datagram { revision: self.revision(), body: Some(body) }
     }
 
-    fn pull(&self, link: &mut Link, from: SocketAddr) {
-        let pull = Pull { after: self.replica.cursor() };
+    /// Returns whether peers have sent higher revisions for a whole lease without an update of this
+    /// daemon. Peers at the same revision do not know more than it does, and must not confirm it.
+    fn is_stuck(&self, now: Instant) -> bool {
+        let since = self.behind_since.filter(|_| self.is_behind(now));
+        since.is_some_and(|since| now.duration_since(since) >= self.lease.length())
+    }
+
+    fn pull(&mut self, link: &mut Link, from: SocketAddr) {
+        self.last_pull = Some(clock::now());
+        let Cursor { after, reset_at } = self.replica.cursor(Source::Peers);
+        let pull = Pull { after, reset_at: reset_at.unwrap_or(0) };
         link.send(&self.message(Body::Pull(pull)), from);
     }
 
     /// Applies a page to the replica; returns whether the replica has a newer revision.
-    fn apply_page(&mut self, page: Page) -> bool {
-        self.replica.apply(page).unwrap_or_else(|gap| {
-            debug!(self.events.logger(), "page refused"; "reason" => %gap);
-            false
+    fn apply_page(&mut self, source: Source, page: Page) -> Result<bool, Gap> {
+        self.replica.apply(source, page).inspect_err(|gap| {
+            debug!(self.events.logger(), "page refused"; "source" => ?source, "reason" => %gap);
         })
     }
 
     fn rebuild_view(&mut self) {
         self.was_active = self.may_act(clock::now());
+        self.behind_since = None;
         self.view = Arc::new(View::new(self.replica.store()));
         self.lease.record_revision(self.revision());
         self.events.set_revision(self.revision());
--- a/crates/hyssopdyked/src/node/session.rs
+++ b/crates/hyssopdyked/src/node/session.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
@@ -10,7 +11,7 @@
 use hyssopdyke_wire::{Codec, Error, Key, Purpose};
 use slog::{info, warn};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, timeout};
 use tokio_util::codec::Framed;
@@ -75,6 +76,8 @@
     report: watch::Sender<Report>,
     /// Set when the daemon leaves; tells whether its upstream goes on without it.
     leave: watch::Sender<Option<Leave>>,
+    /// Notified when the connection is to be replaced.
+    reconnect: Arc<Notify>,
     /// Client from which another session can be started.
     client: Client,
     task: JoinHandle<()>,
@@ -91,6 +94,7 @@
         let (sender, updates) = mpsc::channel(UPDATE_QUEUE_LENGTH);
         let (report, reports) = watch::channel(Report::default());
         let (leave, left) = watch::channel(None);
+        let reconnect = Arc::new(Notify::new());
         let client = Client {
             key: Key::derive(&cluster.passphrase, Purpose::Session),
             control,
@@ -100,10 +104,11 @@
             updates: sender,
             reports,
             left,
+            reconnect: Arc::clone(&reconnect),
             events,
         };
         let task = tokio::spawn(client.clone().run());
-        Self { updates, report, leave, client, task }
+        Self { updates, report, leave, reconnect, client, task }
     }
 
     /// Waits for the next update.
@@ -125,6 +130,12 @@
         });
     }
 
+    /// Replaces the connection. Control then sends the changes since the revision that was last
+    /// reported.
+    pub(crate) fn reconnect(&self) {
+        self.reconnect.notify_one();
+    }
+
     /// Returns the lease to control and ends the session. `returns` tells whether the daemon's
     /// upstream goes on without it.
     pub(crate) async fn leave(&mut self, returns: bool) {
@@ -164,6 +175,7 @@
     updates: mpsc::Sender<Update>,
     reports: watch::Receiver<Report>,
     left: watch::Receiver<Option<Leave>>,
+    reconnect: Arc<Notify>,
     events: Events,
 }
 
@@ -183,6 +195,8 @@
     Refused(Box<str>),
     #[error("the daemon is stopping")]
     Stopped,
+    #[error("a page of control does not follow the previous ones")]
+    Gap,
 }
 
 impl Client {
@@ -280,6 +294,7 @@
         loop {
             tokio::select! {
                 () = wait_answer_timeout(unanswered.front()) => return Err(End::AnswerTimeout),
+                () = self.reconnect.notified() => return Err(End::Gap),
                 _ = renewals.tick() => {
                     sequence += 1;
                     unanswered.push_back((sequence, clock::now()));
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -13,7 +13,7 @@
 use eyre::{Result, ensure};
 use hyssopctl::{Client, Precondition};
 use hyssopdyke::connection::{self, Cache, Directory, Flow, Protocol, Table};
-use hyssopdyke::version::{Replica, Store, View};
+use hyssopdyke::version::{Cursor, Replica, Source, Store, View};
 use hyssopdyke_wire::datagram::{
     Accepted, Datagram, Forward, Load, Offer, Owner, Ping, Pong, Record, Report, Reported,
     datagram::Body as Message,
@@ -231,7 +231,7 @@
         );
     }
     let mut replica = Replica::new();
-    replica.apply(store.changes_since(0, usize::MAX))?;
+    replica.apply(Source::Control, store.changes_since(Cursor::at(0), usize::MAX))?;
     drop(store);
     let view = View::new(replica.store());
     Ok((replica, view))
