fix(control): a read is confirmed after the commits that it must see are applied

Cause: `advance_commit` answered confirmed reads, and only then did `apply` apply what had just been committed; after a restart that is the whole log.

Evidence: `confirm_before_apply` fails before with "a read was confirmed before the commit was applied".

Change: confirmed reads are answered at the end of `apply`, and only if all commits are applied.

Why it works: the commit index at the answer is at least that at the confirmation, and the reader takes the registry's lock after the answer, so that it sees all of it.

The race was not played again with processes: it is too rare for that.

Ruled out: reads by a leader without a commit of its own term, which waited before and still do.

--- a/crates/hyssopdyked/src/control/consensus/disk_tests.rs
+++ b/crates/hyssopdyked/src/control/consensus/disk_tests.rs
@@ -15,14 +15,14 @@
 const MAX_MESSAGES: u32 = 500;
 
 /// Returns an empty folder of a test.
-fn folder(test: &str) -> PathBuf {
+pub(super) fn folder(test: &str) -> PathBuf {
     let folder = std::env::temp_dir().join(format!("{test}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     folder
 }
 
-async fn open(folder: &std::path::Path) -> (Handle, Consensus) {
+pub(super) async fn open(folder: &std::path::Path) -> (Handle, Consensus) {
     let address = ([127, 0, 0, 1], 0).into();
     let common = sample::common("vm-0");
     let (events, _writer) = Events::open("control", &common);
--- a/crates/hyssopdyked/src/control/consensus/mod.rs
+++ b/crates/hyssopdyked/src/control/consensus/mod.rs
@@ -297,10 +297,16 @@
         }
     }
 
+    /// Applies the committed entries, and answers the requests that wait for them.
     async fn apply(&mut self) -> Result<(), JournalError> {
-        if self.applied_index >= self.commit_index {
-            return Ok(());
+        if self.applied_index < self.commit_index {
+            self.apply_entries().await?;
         }
+        self.answer_confirmations();
+        Ok(())
+    }
+
+    async fn apply_entries(&mut self) -> Result<(), JournalError> {
         let registry = Arc::clone(&self.registry);
         let mut registry = registry.write().await;
         while self.applied_index < self.commit_index {
@@ -362,3 +368,7 @@
 #[cfg(test)]
 #[path = "disk_tests.rs"]
 mod disk_tests;
+
+#[cfg(test)]
+#[path = "read_tests.rs"]
+mod read_tests;
--- a/crates/hyssopdyked/src/control/consensus/replicate.rs
+++ b/crates/hyssopdyked/src/control/consensus/replicate.rs
@@ -198,8 +198,9 @@
     /// Commits the entries that a majority has synced.
     pub(super) fn advance_commit(&mut self) {
         let last = self.journal.last_index();
-        let Role::Leader { confirmed_round, .. } = &self.role else { return };
-        let confirmed_round = *confirmed_round;
+        if !matches!(self.role, Role::Leader { .. }) {
+            return;
+        }
         let reached = self.majority_value(last, |follower| follower.match_index).unwrap_or(0);
         // An entry of an earlier term is committed only together with one of this term.
         if reached > self.commit_index
@@ -207,19 +208,27 @@
         {
             self.commit_index = reached;
         }
-        if self.journal.term(self.commit_index) == Some(self.journal.vote().term) {
-            for (_, reply) in self
-                .pending_confirmations
-                .extract_if(.., |(required_round, _)| *required_round <= confirmed_round)
-            {
-                let _ = reply.send(Ok(()));
-            }
-        }
         if !self.is_voter() && self.commit_index >= self.configuration_index {
             // The configuration that removes this VM from the voters is committed.
             self.step_down(None);
         }
     }
+
+    /// Answers the reads whose round a majority has answered, once all that was committed before is
+    /// applied.
+    pub(super) fn answer_confirmations(&mut self) {
+        let Role::Leader { confirmed_round, .. } = &self.role else { return };
+        let confirmed_round = *confirmed_round;
+        let has_committed_in_term =
+            self.journal.term(self.commit_index) == Some(self.journal.vote().term);
+        if !has_committed_in_term || self.applied_index < self.commit_index {
+            return;
+        }
+        let is_confirmed = |(required, _): &mut (u64, Reply<()>)| *required <= confirmed_round;
+        for (_, reply) in self.pending_confirmations.extract_if(.., is_confirmed) {
+            let _ = reply.send(Ok(()));
+        }
+    }
 }
 
 /// Returns the first entries, up to the limits of one message.
