fix(agent): homes wait for the flows of agents whose domain was just taken out

Callers: an open flow could be reset by a home in the moment in which its upstream's domain was taken out.

Cause: a home counted as settled without the reports of agents in domains that are out, and searches ask no member that is known to have reported before. So it reset flows of these agents until their reports came.

Evidence: `search_before_reports_of_out_domain` fails before with "reset before the owner has reported".

Change: the reports of such agents are needed as well, where open flows cannot be reset and the agent knows its flows.

Why it works: until then packets of unknown flows are held. An agent that does not know its flows is asked by the search, and one that cannot be reached is left out, as before.

Ruled out: waiting for all agents in such domains; one that is restarted there gets no records and would hold up the callers of lost flows until its domain is back.

--- a/crates/hyssopdyked/src/agent/report.rs
+++ b/crates/hyssopdyked/src/agent/report.rs
@@ -63,9 +63,16 @@
         self.pool.as_ref()?.report_epoch(self.own_id)
     }
 
+    /// Returns the other members whose reports this agent needs. An agent whose failure domain is out
+    /// goes on to serve its flows if they cannot be reset; while it does not know them, searches ask it.
     fn other_members(&self) -> impl Iterator<Item = vm::Id> {
         let members = self.pool.iter().flat_map(|pool| &pool.members);
-        members.map(|member| member.vm).filter(|vm| *vm != self.own_id)
+        let out_members = self
+            .pool
+            .iter()
+            .flat_map(|pool| &pool.out_members)
+            .filter(|member| !C::CAN_RESET_OPEN_FLOWS && self.peers.knows_flows(member.vm));
+        members.chain(out_members).map(|member| member.vm).filter(|vm| *vm != self.own_id)
     }
 
     /// Applies a new membership epoch, and makes the reports that are due for it.
--- a/crates/hyssopdyked/src/agent/worker_tests.rs
+++ b/crates/hyssopdyked/src/agent/worker_tests.rs
@@ -6,7 +6,7 @@
 use hyssopdyke::connection;
 use hyssopdyke::process::{Phase, UpstreamReport};
 use hyssopdyke::request::{Packet, PacketCodec};
-use hyssopdyke::version::Store;
+use hyssopdyke::version::{Member, Store};
 use hyssopdyke_platform::PlatformCodec;
 use hyssopdyke_wire::datagram::{
     Datagram, Declined, Forward, Offer, Owner, Ping, Reason, Report, Room, Stage, Unknown,
@@ -557,6 +557,44 @@
     assert_eq!(harness.receive_at_peer(1, search_request).await.packet, request);
 }
 
+/// Open flows of a domain that was just taken out were reset by a new home, which had the reports of
+/// all other domains.
+#[tokio::test]
+async fn search_before_reports_of_out_domain() {
+    let mut harness = Harness::open().await;
+    let mut pool = Pool::clone(harness.worker.pool.as_ref().unwrap());
+    let is_out = |member: &mut Member| member.vm == Harness::id(1);
+    pool.out_members = pool.members.extract_if(.., is_out).collect();
+    pool.homes = vec![harness.worker.own_id];
+    let epoch = pool.epoch;
+    harness.worker.pool = Some(Arc::new(pool));
+    harness.worker.records_barrier = Barrier::new();
+    harness.worker.owned_barrier = Barrier::new();
+    harness.worker.settled_epoch = None;
+    for peer in [0, 1] {
+        let load = Load { knows_flows: true, ..Load::default() };
+        harness.send_from_peer(peer, Body::Ping(Ping { nonce: 0, load: Some(load) })).await;
+    }
+    let report = |stage: Stage, opened| {
+        let stage = stage as i32;
+        Body::Report(Report { epoch, parts: 1, stage, opened, ..Report::default() })
+    };
+    harness.send_from_peer(0, report(Stage::Records, Vec::new())).await;
+    harness.send_from_peer(0, report(Stage::Own, Vec::new())).await;
+    let port = harness.port_at_home(harness.worker.own_id);
+    let (request, flow) = (harness.request(port, OTHER_UPSTREAM_ISN), harness.flow(port));
+    harness.send_from_peer(0, forward(request.clone())).await;
+    assert!(Harness::is_silent(&harness.caller).await, "reset before the owner has reported");
+    let record = record(flow, Harness::id(1));
+    harness.send_from_peer(1, report(Stage::Records, Vec::new())).await;
+    harness.send_from_peer(1, report(Stage::Own, vec![record])).await;
+    let forwarded = |body| match body {
+        Body::Forward(forward) if !forward.search => Some(forward.packet),
+        _ => None,
+    };
+    assert_eq!(harness.receive_at_peer(1, forwarded).await, request);
+}
+
 #[tokio::test]
 async fn search_behind_peer() {
     // A peer with a newer revision may have a member that was not asked, so the caller is not
