--- a/crates/hyssopdyke/src/version/mod.rs
+++ b/crates/hyssopdyke/src/version/mod.rs
@@ -5,7 +5,6 @@
 //! daemon derives from its copy.
 
 mod cursor;
-mod former;
 mod group;
 mod home;
 mod homes;
--- a/crates/hyssopdyke/src/version/former.rs
+++ b/crates/hyssopdyke/src/version/registry/former.rs
@@ -9,7 +9,7 @@
 
 use hyssopdyke_wire::resource::{Kind, Resource, Route, resource::Body};
 
-use super::Store;
+use crate::version::Store;
 
 /// Former services of a route, with the revision at which each ceased to get new flows.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
