feat(hyssopctl): retired services and former services of routes are shown as such

Operators: `delete services NAME` said "is removed" for a service that stays retired until its flows have ended, and `get` showed such a service with an empty place for its listeners.

Cause: the command line knew only removed resources as the answer to a removal.

Change: the answer tells a retired service, and when it goes; `get` marks it, and names a route's former services.

Evidence: `removal_retired` and `describe_former_services`; the text before has no word for either.

--- a/crates/hyssopctl/src/operation.rs
+++ b/crates/hyssopctl/src/operation.rs
@@ -92,7 +92,7 @@
 pub(crate) fn delete(client: &Client, matches: &ArgMatches) -> Result<()> {
     let key = Client::idempotency_key();
     let written = client.delete(kind(matches), name(matches), &key)?;
-    println!("{} is removed in revision {}", written.name, written.revision);
+    println!("{}", output::removal(&written));
     wait_if_requested(client, matches, written.revision)
 }
 
--- a/crates/hyssopctl/src/output.rs
+++ b/crates/hyssopctl/src/output.rs
@@ -32,8 +32,9 @@
                 format!("{}:{}/{protocol}/{class}", listener.address, listener.port)
             });
             let listeners = listeners.collect::<Vec<_>>().join(", ").to_lowercase();
+            let place = if service.retired != 0 { "retired" } else { listeners.as_str() };
             format!(
-                "{listeners}, {} connections, {} slots, {} cold",
+                "{place}, {} connections, {} slots, {} cold",
                 service.connections, service.slots, service.cold_slots
             )
         }
@@ -47,7 +48,11 @@
         Some(Body::Route(route)) => {
             let shares =
                 route.splits.iter().map(|split| format!("{} {}", split.service, split.weight));
-            shares.collect::<Vec<_>>().join(", ")
+            let shares = shares.collect::<Vec<_>>().join(", ");
+            if route.former.is_empty() {
+                return shares;
+            }
+            format!("{shares}; formerly {}", route.former.join(", "))
         }
         Some(Body::Declaration(declaration)) => format!("version {}", declaration.version),
         Some(Body::Deleted(kind)) => {
@@ -58,6 +63,17 @@
     }
 }
 
+/// Describes the outcome of a removal.
+pub(crate) fn removal(written: &Resource) -> String {
+    let Resource { name, revision, body, .. } = written;
+    match body {
+        Some(Body::Service(_)) => format!(
+            "{name} is retired since revision {revision}, and removed once its flows have ended"
+        ),
+        _ => format!("{name} is removed in revision {revision}"),
+    }
+}
+
 /// Prints the voting control VMs.
 pub(crate) fn members(members: &Members, is_json: bool) -> Result<()> {
     if is_json {
--- a/crates/hyssopctl/src/output_tests.rs
+++ b/crates/hyssopctl/src/output_tests.rs
@@ -1,9 +1,10 @@
 use hyssopctl::{Members, Voter};
 use hyssopdyke_wire::resource::{
-    Acknowledgement, Domain, Resource, State, Status, Upstream, Usage, resource::Body,
+    Acknowledgement, Domain, Kind, Resource, Route, Service, Split, State, Status, Upstream, Usage,
+    resource::Body,
 };
 
-use super::summary;
+use super::{describe, removal, summary};
 
 fn daemon(name: &str, revision: u64, usage: Usage) -> Acknowledgement {
     Acknowledgement { name: name.into(), kind: 3, revision, usage: Some(usage) }
@@ -51,3 +52,26 @@
         ]
     );
 }
+
+/// A service that was kept for its flows was shown as removed.
+#[test]
+fn removal_retired() {
+    let written =
+        |body| Resource { name: "a".into(), revision: 7, body: Some(body), ..Resource::default() };
+    let retired = written(Body::Service(Service { retired: 7, ..Service::default() }));
+    assert_eq!(
+        removal(&retired),
+        "a is retired since revision 7, and removed once its flows have ended"
+    );
+    assert_eq!(describe(&retired), "retired, 0 connections, 0 slots, 0 cold");
+    let removed = written(Body::Deleted(Kind::Service as i32));
+    assert_eq!(removal(&removed), "a is removed in revision 7");
+}
+
+#[test]
+fn describe_former_services() {
+    let splits = vec![Split { service: "b".into(), weight: 1000 }];
+    let body = Body::Route(Route { splits, former: vec!["a".into()], ..Route::default() });
+    let route = Resource { body: Some(body), ..Resource::default() };
+    assert_eq!(describe(&route), "b 1000; formerly a");
+}
