fix(hyssopctl): `get` shows routes and declarations, `delete` offers what can be removed

Cause: both commands had one list of kinds.

Change: `get` takes every kind, `delete` the kinds that an operator may write.

Evidence: `get_any_kind` and `delete_kinds` fail with the former list.

--- a/crates/hyssopctl/src/command.rs
+++ b/crates/hyssopctl/src/command.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::Report;
 use hyssopctl::{Client, Error, ResourceFileError};
@@ -26,6 +27,13 @@
 /// Exit code if a change was accepted but did not come into force before the timeout.
 const EXIT_NOT_IN_FORCE: u8 = 6;
 
+/// Kinds of resources that operators may write.
+const WRITABLE_KINDS: [&str; 3] = ["services", "domains", "upstreams"];
+
+/// Kinds of resources that operators may read.
+const ALL_KINDS: [&str; 6] =
+    ["services", "domains", "upstreams", "entries", "routes", "declarations"];
+
 const EXAMPLES: &str = "\
 Examples:
   hyssopctl --control 10.40.1.1:5561 apply resources.ini --wait
@@ -71,12 +79,12 @@
         .subcommand(
             Command::new("get")
                 .about("Show resources")
-                .arg(kind_arg())
+                .arg(kind_arg(&ALL_KINDS))
                 .arg(Arg::new("name").help("Show only this resource")),
         )
         .subcommand(
             with_wait(Command::new("delete").about("Remove a resource"))
-                .arg(kind_arg())
+                .arg(kind_arg(&WRITABLE_KINDS))
                 .arg(Arg::new("name").required(true)),
         )
         .subcommand(
@@ -136,8 +144,8 @@
         )
 }
 
-fn kind_arg() -> Arg {
-    Arg::new("kind").required(true).value_parser(["services", "domains", "upstreams", "entries"])
+fn kind_arg(kinds: &'static [&'static str]) -> Arg {
+    Arg::new("kind").required(true).value_parser(PossibleValuesParser::new(kinds))
 }
 
 fn path_arg(name: &'static str, help: &'static str) -> Arg {
@@ -226,3 +234,7 @@
         _ => EXIT_FAILED,
     }
 }
+
+#[cfg(test)]
+#[path = "command_tests.rs"]
+mod tests;
