fix(control): a bad address of a member is reported as such

Cause: the check used the error of a service's listener.

Change: an error of its own, with the member's name and the address that was found.

Evidence: `check_member_address` asserts the text; the former one named listeners.

--- a/crates/hyssopdyked/src/control/api.rs
+++ b/crates/hyssopdyked/src/control/api.rs
@@ -234,10 +234,7 @@
     State(api): State<Api>,
     Json(member): Json<Member>,
 ) -> Result<StatusCode, Problem> {
-    validate::check_name(&member.name)?;
-    if member.address.parse::<std::net::SocketAddr>().is_err() {
-        return Err(validate::Error::InvalidAddress(member.address).into());
-    }
+    validate::check_member(&member.name, &member.address)?;
     let voter = Voter { name: member.name.into(), identity: 0, address: member.address.into() };
     api.handle.admit_voter(voter).await?;
     Ok(StatusCode::ACCEPTED)
--- a/crates/hyssopdyked/src/control/validate.rs
+++ b/crates/hyssopdyked/src/control/validate.rs
@@ -1,6 +1,6 @@
 //! Validation of resources that operators write.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use hyssopdyke::version::Store;
 use hyssopdyke_wire::resource::{
@@ -21,6 +21,8 @@
     MissingListener,
     #[error("listeners: address {0:?} is not an IP address")]
     InvalidAddress(Box<str>),
+    #[error("member {name}: address {address:?} is not a socket address")]
+    InvalidMemberAddress { name: Box<str>, address: Box<str> },
     #[error("listeners: port {0} is not between 1 and 65535")]
     InvalidPort(u32),
     #[error("listeners: protocol must be tcp or udp")]
@@ -48,6 +50,15 @@
     }
 }
 
+/// Checks the address of a control VM that is to become a voter.
+pub(super) fn check_member(name: &str, address: &str) -> Result<(), Error> {
+    check_name(name)?;
+    address
+        .parse::<SocketAddr>()
+        .map(|_| ())
+        .map_err(|_| Error::InvalidMemberAddress { name: name.into(), address: address.into() })
+}
+
 /// Checks a service, and its listeners against those of other services.
 pub(super) fn check_service(store: &Store, name: &str, service: &Service) -> Result<(), Error> {
     check_range("connections", service.connections, 1, MAX_CAPACITY)?;
--- a/crates/hyssopdyked/src/control/validate_tests.rs
+++ b/crates/hyssopdyked/src/control/validate_tests.rs
@@ -17,6 +17,14 @@
     })
 }
 
+/// The address of a control VM was reported as that of a listener.
+#[test]
+fn check_member_address() {
+    assert_eq!(check_member("vm-1", "127.0.0.1:5560"), Ok(()));
+    let error = check_member("vm-1", "127.0.0.1").unwrap_err();
+    assert_eq!(error.to_string(), "member vm-1: address \"127.0.0.1\" is not a socket address");
+}
+
 /// An operator deleted a service to which a route sent new flows.
 #[test]
 fn check_unused_routed() {
