--- a/crates/hyssopdyke/src/version/view.rs
+++ b/crates/hyssopdyke/src/version/view.rs
@@ -302,7 +302,7 @@
     }
 }
 
-/// Returns a pool for each group of declared services, without members.
+/// Returns a pool for each group of services, without members. Retired services are among them.
 fn pools(store: &Store, groups: &Groups) -> HashMap<Box<str>, Pool> {
     let mut pools: HashMap<Box<str>, Pool> = HashMap::new();
     for resource in store.list(Kind::Service) {
