--- a/crates/hyssopdyke/tests/version.rs
+++ b/crates/hyssopdyke/tests/version.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use hyssopdyke::version::{Groups, Outcome, Ranking, Registry, View};
+use hyssopdyke::version::{self, Groups, Outcome, Ranking, Registry, View};
 use hyssopdyke::vm;
 use hyssopdyke_wire::ledger::{Command, Declare, Forget, Register, Unregister, Write, command};
 use hyssopdyke_wire::resource::{
@@ -185,6 +185,12 @@
     Command { body: Some(command::Body::Declare(declare)) }
 }
 
+/// Returns the declared route.
+fn route(view: &View) -> &version::Route {
+    let tcp = hyssopdyke::connection::Protocol::Tcp;
+    view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap()
+}
+
 #[test]
 fn declare_highest_version_wins() {
     let mut registry = Registry::new();
@@ -212,9 +218,7 @@
     registry.apply(declare(2, &["b"]));
     assert_eq!(Groups::new(registry.store()).group_of("b"), Some("a"));
     let view = View::new(registry.store());
-    let route =
-        view.route("198.18.0.1:443".parse().unwrap(), hyssopdyke::connection::Protocol::Tcp);
-    let route = route.unwrap();
+    let route = route(&view);
     assert!(route.allows("b") && !route.allows("a"));
     assert!(route.pool.services.contains_key("a"));
     let epoch = route.pool.epoch;
@@ -241,9 +245,8 @@
 /// Returns whether the upstreams of a service are members of the group that serves the route.
 fn serves_route(registry: &Registry, service: &str) -> bool {
     let view = View::new(registry.store());
-    let tcp = hyssopdyke::connection::Protocol::Tcp;
-    let route = view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap();
-    route.pool.services.contains_key(service) && view.pool(service) == Some(&route.pool)
+    let pool = &route(&view).pool;
+    pool.services.contains_key(service) && view.pool(service) == Some(pool)
 }
 
 /// A declaration that moved a route and dropped its former service had the open flows there reset.
@@ -257,8 +260,7 @@
         }
         registry.apply(declare_only(3, &["b"], &["b"]));
         let view = View::new(registry.store());
-        let tcp = hyssopdyke::connection::Protocol::Tcp;
-        let route = view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap();
+        let route = route(&view);
         assert!(route.allows("b") && !route.allows("a"));
         assert!(route.pool.services.contains_key("a"), "upstreams of a are no members any more");
     }
@@ -397,7 +399,5 @@
     registry.apply(write("k", None, Resource { name: "a".into(), body, ..Resource::default() }));
     registry.apply(declare_only(1, &["b"], &["b"]));
     assert!(serves_route(&registry, "a"));
-    let view = View::new(registry.store());
-    let tcp = hyssopdyke::connection::Protocol::Tcp;
-    assert!(!view.route("198.18.0.1:443".parse().unwrap(), tcp).unwrap().allows("a"));
+    assert!(!route(&View::new(registry.store())).allows("a"));
 }
