--- a/crates/hyssopdyked/src/node/membership_tests.rs
+++ b/crates/hyssopdyked/src/node/membership_tests.rs
@@ -2,19 +2,28 @@
 
 use std::time::Duration;
 
-use hyssopdyke::version::{Source, Store};
+use futures_util::{SinkExt, StreamExt};
+use hyssopdyke::version::{Cursor, Source, Store};
 use hyssopdyke_wire::datagram::Pong;
 use hyssopdyke_wire::resource::{Domain, Entry, Resource, Upstream, resource::Body};
+use hyssopdyke_wire::session::{Frame, Granted, frame, hello};
+use hyssopdyke_wire::{Codec, Key, Purpose};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
 
-use hyssopdyke_wire::{Key, Purpose};
-
-use super::{BEHIND_TIMEOUT, DEFAULT_LEASE, Link, Membership};
+use super::{BEHIND_TIMEOUT, DEFAULT_LEASE, Link, Membership, Session};
 use crate::clock;
 use crate::log::Events;
+use crate::node::Announcement;
 use crate::settings::sample;
 
 const BOOT: u64 = 7;
 
+/// Time within which a connection on loopback arrives, even under load.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(20);
+
 fn membership() -> Membership {
     let (events, _writer) = Events::open("agent", &sample::common("vm-1"));
     Membership::new(BOOT, "d".into(), events)
@@ -117,6 +126,45 @@
     assert!(membership.may_act(now));
 }
 
+/// After a gap in its pages, control went on from there, and the daemon stayed where it was.
+#[tokio::test]
+async fn apply_updates_gap() {
+    let common = sample::common("vm-2");
+    let (events, _writer) = Events::open("entry", &common);
+    let control = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let (_, addresses) = watch::channel(vec![control.local_addr().unwrap()]);
+    let role = hello::Role::Entry(Entry::default());
+    let announcement = Announcement { name: "vm-2".into(), role };
+    let mut session = Session::spawn(&common.cluster, addresses, announcement, events.clone());
+    let mut membership = Membership::new(BOOT, "d".into(), events);
+    let state = store(false);
+    for (after, applied) in [(2, 0), (0, 3)] {
+        let (stream, _) = timeout(ARRIVAL_TIMEOUT, control.accept()).await.unwrap().unwrap();
+        let key = Key::derive(&common.cluster.passphrase, Purpose::Session);
+        let mut stream = Framed::new(stream, Codec::<Frame>::new(key));
+        let hello = stream.next().await.unwrap().unwrap();
+        assert!(matches!(hello.body, Some(frame::Body::Hello(hello)) if hello.revision == 0));
+        let page = state.changes_since(Cursor::at(after), usize::MAX);
+        stream.send(Frame { body: Some(frame::Body::Page(page)) }).await.unwrap();
+        tokio::spawn(answer_renewals(stream));
+        loop {
+            let update = session.next_update().await.unwrap();
+            membership.apply_updates(update, &mut session);
+            if membership.revision() == applied {
+                break;
+            }
+        }
+    }
+}
+
+async fn answer_renewals(mut stream: Framed<TcpStream, Codec<Frame>>) {
+    while let Some(Ok(frame)) = stream.next().await {
+        let Some(frame::Body::Renew(renew)) = frame.body else { continue };
+        let granted = Granted { sequence: renew.sequence, lease_ms: 3000, ..Granted::default() };
+        let _ = stream.send(Frame { body: Some(frame::Body::Granted(granted)) }).await;
+    }
+}
+
 #[tokio::test]
 async fn is_behind_expires() {
     // One message with a revision that control never had kept an agent from ending any search.
