test(hyssopctl): removal of entries is refused by the command line

`delete_kinds` did not name entries, so that it held with the former list of kinds as well, against what says of it. With entries it fails with that list (run once).

--- a/crates/hyssopctl/src/command_tests.rs
+++ b/crates/hyssopctl/src/command_tests.rs
@@ -19,7 +19,8 @@
 /// Only what an operator may write can be removed.
 #[test]
 fn delete_kinds() {
-    for (kind, is_allowed) in [("services", true), ("domains", true), ("routes", false)] {
+    let kinds = [("services", true), ("domains", true), ("entries", false), ("routes", false)];
+    for (kind, is_allowed) in kinds {
         assert_eq!(parse(&format!("delete {kind} a")).is_ok(), is_allowed, "{kind}");
     }
 }
