--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,7 +1,7 @@
 //! Cases of the review that run the project's programs as processes.
 //!
-//! `standin-3 CASE FOLDER` exits with 1 if the rule was broken, 0 if it held, and 2 if the case could
-//! not run. With `TROUBLE=0` it leaves the disruption out.
+//! `standin-3 CASE FOLDER TROUBLE` exits with 1 if the rule was broken, 0 if it held, and 2 if the case
+//! could not run. With 0 as TROUBLE it leaves the disruption out.
 
 mod cases;
 mod client;
@@ -18,11 +18,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: standin-3 CASE FOLDER");
+    let [_, case, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: standin-3 CASE FOLDER TROUBLE");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = trouble != "0";
     let record = match Record::create(&Path::new(folder).join("record.txt")) {
         Ok(record) => record,
         Err(error) => {
